--- /dev/null
+++ b/adapter/main.cpp
@@ -0,0 +1,23 @@
+// cedarplank_adapter: reads batches of the simulator's wire, answers each with one flush.
+#include <iostream>
+#include <string>
+
+#include "codec.hpp"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  cedarplank::adapter::Codec codec;
+  std::string line, reply;
+  for (std::size_t number = 1; std::getline(std::cin, line); number++) {
+    try {
+      if (line.empty() || !codec.take(line, reply)) continue;
+    } catch (const std::exception& e) {
+      std::cerr << "cedarplank_adapter: line " << number << ": " << e.what() << std::endl;
+      return 1;
+    }
+    std::cout << reply << std::flush;
+    if (!std::cout) return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/dispatcher.cpp
@@ -0,0 +1,632 @@
+// The decisions of cedarplank. Interface: include/cedarplank/dispatcher.hpp
+//
+// Read top to bottom: constants; what is kept of endpoints, targets and messages; learning from
+// outcomes (LIMD delay, pace, health); the list; the one gate that every send passes; choosing what goes
+// next; ends and timers. docs/design.md tells what comes from the design's source and what is ours.
+#include "cedarplank/dispatcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+#include <stdexcept>
+
+namespace cedarplank {
+namespace {
+
+// ---- Constants. Times in seconds, unless derived from settings where they are used. ----
+// LIMD. The source's example figures are 2, 4, 1 with factor 0.2; their ratios are kept, the unit is
+// a share of the shortest aim, because its seconds are long against our deadlines.
+constexpr double kUnitOfAim = 0.1;
+constexpr double kInitial = 2, kIncrement = 4, kLeast = 1, kMost = 20;   // in units
+constexpr double kFactor = 0.2, kJitter = 0.25;
+constexpr double kAgingHalfLife = 20;       // units: an unused D halves in this time
+// Pace.
+constexpr double kRateMemory = 4;           // memory of served-rate estimates
+constexpr double kPaceCut = 0.85;           // on a further refusal
+constexpr double kCutGap = 0.3;             // refusals closer than this are one event
+constexpr double kPaceRaise = 0.15;         // growth a second while calls are served
+constexpr double kPaceRoom = 1.25;          // a cut starts from no more than this times the served rate
+constexpr double kBurst = 0.3;              // seconds of pace that may be saved up
+// Health.
+constexpr int kCloseRun = 3;                // bad signs without a serve that close an endpoint
+constexpr int kShutRun = 4;                 // refusals without a serve that mean shut, not limited,
+constexpr double kShutSpan = 1.5;           // when they span this time
+constexpr double kMostFail = 0.5;           // share of failing calls that closes an endpoint
+constexpr double kFailMemory = 0.15;        // weight of the newest call in that share
+constexpr double kOverdueTimes = 4;         // a call out this many usual latencies, plus
+constexpr double kOverdueMore = 0.3;        // this, is a bad sign
+constexpr double kRampShare = 0.9;          // part of the push-over budget that is used
+constexpr double kLeastCallRate = 0.3;      // calls a second assumed where nothing was served yet
+constexpr double kTrialGapMost = 3;         // seconds between trial calls at the most
+// Slots.
+constexpr double kTargetSlots = 0.5;        // share of the slots for one endpoint at most
+constexpr double kDoubtSlots = 0.125;       // while doubtful
+constexpr int kBaseCalls = 3;               // calls out that need no served rate to justify them
+// Time-outs.
+constexpr double kTimeoutTimes = 8;         // usual latencies
+constexpr double kSafeTimeoutAims = 1;      // least time-out of repeatable messages, in aims
+constexpr double kUnsafeTimeoutAims = 3;    // and of the others, which a time-out loses
+constexpr double kFirstLatency = 0.25;      // assumed before the first answer
+// List and buffer.
+constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
+constexpr double kBufferFull = 0.92;        // above this share of the buffer the least worth is refused
+
+constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
+constexpr double kUnbounded = std::numeric_limits<double>::infinity();
+
+double seconds(Time t) { return static_cast<double>(t) * 1e-6; }
+Time micros(double s) { return s > 1e9 ? kNever : static_cast<Time>(s * 1e6); }
+
+// Served calls a second, forgetting old ones.
+class Rate {
+ public:
+  void add(Time now) { decay(now), sum_ += 1; }
+  double at(Time now) {
+    if (first_ < 0) return 0;
+    decay(now);
+    const double seen = 1 - std::exp(-(seconds(now - first_) + 1) / kRateMemory);
+    return sum_ / kRateMemory / seen;
+  }
+
+ private:
+  void decay(Time now) {
+    if (first_ < 0) first_ = last_ = now;
+    sum_ *= std::exp(-seconds(now - last_) / kRateMemory);
+    last_ = now;
+  }
+  double sum_ = 0;
+  Time first_ = -1, last_ = 0;
+};
+
+struct Target {              // what shares one limit: a destination, or a route apart
+  double delay = 0;          // D, in seconds; 0: no failure remembered
+  Time delay_at = 0;         // when D last changed (a round counts as one failure)
+  double pace = kUnbounded;  // calls a second of this relay
+  double tokens = 1;
+  Time tokens_at = 0, cut_at = -kNever, raise_at = 0;
+  Time wait_until = 0;       // told wait
+  Rate served;
+  int refusals = 0;          // since the last serve
+  Time refused_from = 0;
+};
+
+enum class Health { open, closed, ramp };
+
+struct EndpointState {
+  Endpoint info;
+  Target own;                // used where routes are apart
+  bool apart = false;
+  int bundle_max = 1;
+  std::set<std::uint64_t> calls;   // out, oldest first
+  double latency = kFirstLatency;
+  Rate served;
+  double fail_share = 0;
+  int fail_run = 0;          // failed calls since the last serve
+  bool doubt_run = false;    // the last failure may have run
+  bool idle_closed = false;  // idle connections were dropped in this spell
+  Health health = Health::open;
+  double usual_rate = 0;     // served calls a second before the trouble
+  Time since = 0;            // of the present health
+  double budget = 0;         // calls allowed while closed or in the ramp
+  Time budget_at = 0, next_trial = 0;
+  int call_cap = 0;          // calls out at which connects failed; 0: unknown
+  Time capped_at = 0;
+  std::uint64_t open_call = 0;   // call begun in this round, for bundling
+};
+
+struct DestinationState {
+  Target target;             // used where endpoints share a limit
+  std::vector<EndpointState*> endpoints;
+};
+
+struct Call {
+  EndpointState* endpoint = nullptr;
+  Time sent = 0;
+  int messages = 0, left = 0;   // taken along; without an outcome yet
+  bool judged = false;          // its fate was counted
+};
+
+struct Message {
+  MessageId id = 0;
+  const ClassSettings* cls = nullptr;
+  DestinationId destination = 0;
+  double worth = 0;
+  Time aim = 0, deadline = 0, ready = 0;
+  std::string key;
+  int sends = 0;
+  std::map<int, std::uint64_t> out;   // attempt to call
+  EndpointState* may_ran_at = nullptr;   // endpoint of the first attempt that may have run
+  Time may_ran_sent = 0;
+  bool over = false;
+};
+
+struct KeyLine { std::deque<MessageId> line; Time rest_until = 0; };
+
+}  // namespace
+
+struct Dispatcher::State {
+  Settings set;
+  std::mt19937_64 random;
+  Time now = 0;
+  std::vector<Action>* out = nullptr;
+  std::map<EndpointId, EndpointState> endpoints;
+  std::map<DestinationId, DestinationState> destinations;
+  std::map<MessageId, Message> messages;
+  std::map<std::string, KeyLine> keys;
+  std::map<std::uint64_t, Call> calls;
+  std::uint64_t next_call = 1;
+  std::vector<double> share_tokens;
+  std::vector<Time> share_at;
+  double unit = 0.1, shortest_aim = 1;
+  Time timer_at = kNever, ask_at = kNever, wake = kNever;
+  bool subscribed = false;
+  double ask_gap = kAskAgain;
+
+  State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
+    shortest_aim = seconds(set.classes[0].aim);
+    for (const auto& c : set.classes) shortest_aim = std::min(shortest_aim, seconds(c.aim));
+    unit = kUnitOfAim * shortest_aim;
+    for (const auto& t : set.tenants) share_tokens.push_back(burst_of(t));
+    share_at.assign(set.tenants.size(), 0);
+  }
+
+  double uniform() { return static_cast<double>(random() >> 11) * 0x1.0p-53; }
+  double jittered(double d) { return d * (1 + kJitter * (2 * uniform() - 1)); }
+  double burst_of(const TenantSettings& t) const { return 2 + 2 * t.quota_per_s / set.relays; }
+  void log(const std::string& text) { out->push_back(action::Log{text}); }
+  void wake_by(Time t) { wake = std::min(wake, std::max(t, now + set.tick)); }
+
+  Target& target_of(EndpointState& e) { return e.apart ? e.own : destinations[e.info.destination].target; }
+
+  // ---- The LIMD delay: fixed step up on failure, factor down on success, aged when unused. ----
+  double delay_now(const Target& t) const {
+    const double aged = t.delay * std::exp2(-seconds(now - t.delay_at) / (kAgingHalfLife * unit));
+    return aged < kLeast * unit / 2 ? 0 : aged;
+  }
+  void delay_up(Target& t) {
+    // Departure: failures told in one round are one event, else calls out together multiply D.
+    if (t.delay > 0 && t.delay_at == now) return;
+    const double d = delay_now(t);
+    t.delay = d == 0 ? kInitial * unit : std::min(d + kIncrement * unit, kMost * unit);
+    t.delay_at = now;
+  }
+  void delay_down(Target& t) {
+    const double d = delay_now(t);
+    t.delay = d == 0 ? 0 : std::max(d * kFactor, kLeast * unit);
+    t.delay_at = now;
+  }
+
+  // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
+  void pace_cut(Target& t) {
+    if (now - t.cut_at < micros(kCutGap)) return;
+    const double least = 1 / shortest_aim, recent = std::max(t.served.at(now), least);
+    if (t.pace == kUnbounded) t.tokens = 0;
+    t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
+    t.cut_at = t.raise_at = t.tokens_at = now;
+  }
+  void pace_raise(Target& t) {
+    const double dt = std::min(seconds(now - t.raise_at), 1.0);
+    if (t.pace != kUnbounded) t.pace *= 1 + kPaceRaise * dt;
+    t.raise_at = now;
+  }
+  Time pace_ready(Target& t) {
+    if (t.pace == kUnbounded) return now;
+    t.tokens = std::min(t.tokens + t.pace * seconds(now - t.tokens_at), std::max(1.0, t.pace * kBurst));
+    t.tokens_at = now;
+    return t.tokens >= 1 ? now : now + micros((1 - t.tokens) / t.pace) + 1;
+  }
+
+  // ---- Health: one ladder for every symptom. ----
+  int overdue(const EndpointState& e) const {
+    const Time late = micros(kOverdueTimes * e.latency + kOverdueMore);
+    int n = 0;
+    for (auto id : e.calls) n += now - calls.at(id).sent > late;
+    return n;
+  }
+  void close(EndpointState& e, const char* why) {
+    if (e.health == Health::open) e.usual_rate = std::max(e.served.at(now), kLeastCallRate);
+    if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
+    e.health = Health::closed;
+    e.since = now;
+    Target& t = target_of(e);
+    e.next_trial = now + micros(jittered(std::max(delay_now(t), kInitial * unit)));
+  }
+  // Calls a second that a returning endpoint may get from this relay: its part of what it stands.
+  double ramp_rate(const EndpointState& e) const {
+    double warm = set.cold_from;
+    if (e.health == Health::ramp && set.cold > 0)
+      warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(set.cold);
+    return e.usual_rate * set.fall_multiple * kRampShare * std::min(warm, 1.0);
+  }
+  Time budget_ready(EndpointState& e) {
+    if (e.health == Health::ramp && now - e.since >= set.cold) {
+      e.health = Health::open;
+      log("warm " + e.info.id);
+    }
+    if (e.health == Health::open) return now;
+    const double rate = ramp_rate(e);
+    e.budget = std::min(1.0, e.budget + rate * seconds(now - e.budget_at));
+    e.budget_at = now;
+    if (e.health == Health::closed) return e.next_trial;
+    return e.budget >= 1 ? now : now + micros((1 - e.budget) / rate) + 1;
+  }
+
+  void call_served(EndpointState& e, Time latency) {
+    Target& t = target_of(e);
+    t.served.add(now), e.served.add(now);
+    t.refusals = 0;
+    e.latency += 0.2 * (seconds(latency) - e.latency);
+    e.fail_share *= 1 - kFailMemory;
+    delay_down(t), pace_raise(t);
+    if (e.health == Health::closed) {
+      // Closed on overdue calls alone and they came after all: slow, not out, so nothing is cold.
+      e.health = e.fail_run == 0 && t.refusals == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
+      e.since = e.budget_at = now, e.budget = 0;
+      log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
+    }
+    e.fail_run = 0, e.idle_closed = false;
+    if (e.call_cap > 0 && now - e.capped_at > micros(2)) e.call_cap++, e.capped_at = now;
+  }
+  void call_refused(EndpointState& e, const event::AttemptEnded& ev) {
+    Target& t = target_of(e);
+    delay_up(t), pace_cut(t);
+    if (t.refusals++ == 0) t.refused_from = now;
+    e.doubt_run = false;
+    if (ev.told_wait > 0) t.wait_until = std::max(t.wait_until, now + ev.told_wait);
+    // Shut, not limited: nothing was served between the refusals.
+    const bool shut = t.refusals >= kShutRun && now - t.refused_from >= micros(kShutSpan);
+    if (!shut && e.health == Health::open) return;
+    e.fail_run = std::max(e.fail_run, 1);
+    if (e.apart) return shut || e.health == Health::closed ? close(e, "refuses all") : void();
+    for (auto* other : destinations[e.info.destination].endpoints)
+      if (shut || other->health == Health::closed) other->fail_run++, close(*other, "refuses all");
+  }
+  void call_failed(EndpointState& e, const event::AttemptEnded& ev) {
+    delay_up(target_of(e));
+    if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() &&
+        overdue(e) == 0 && e.health == Health::open) {
+      // Connects fail while calls are out and answered: its table of connections may be full.
+      e.call_cap = std::max<int>(1, static_cast<int>(e.calls.size()));
+      e.capped_at = now;
+    }
+    e.fail_run++;
+    e.doubt_run = ev.outcome != Outcome::connect_failed;
+    e.fail_share += kFailMemory * (1 - e.fail_share);
+    if (ev.outcome == Outcome::timeout) {
+      e.latency = std::max(e.latency, std::min(e.latency * 2, seconds(ev.latency)));
+      drop_idle(e);
+    }
+    if (e.health != Health::open || e.fail_run + overdue(e) >= kCloseRun || e.fail_share > kMostFail)
+      close(e, ev.outcome == Outcome::connect_failed ? "no connection"
+               : ev.outcome == Outcome::timeout      ? "silent"
+                                                     : "errors");
+  }
+  // Guards against unsafe messages lost in silence: a fresh connection fails provably, an old one doesn't.
+  void drop_idle(EndpointState& e) {
+    if (e.idle_closed) return;
+    e.idle_closed = true;
+    out->push_back(action::CloseIdle{e.info.id});
+  }
+
+  // ---- The list. ----
+  void take(const Endpoint& info) {
+    auto [it, fresh] = endpoints.try_emplace(info.id);
+    EndpointState& e = it->second;
+    e.info = info;
+    const KindSettings kind = info.kind >= 0 && info.kind < static_cast<int>(set.kinds.size())
+                                  ? set.kinds[static_cast<std::size_t>(info.kind)]
+                                  : KindSettings{};
+    e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
+    if (fresh) destinations[info.destination].endpoints.push_back(&e);
+  }
+  void on(const event::ListWhole& ev) {
+    for (auto& [id, e] : endpoints) e.info.listing = Listing::gone;
+    for (const auto& info : ev.endpoints) take(info);
+    if (!ev.cached) subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
+    else if (set.subscribe) ask_at = now;
+  }
+  void on(const event::ListChanges& ev) {
+    for (const auto& info : ev.endpoints) take(info);
+    subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
+  }
+  void on(const event::ListFailed&) {
+    subscribed = false;
+    ask_at = now + micros(jittered(ask_gap));
+    ask_gap = std::min(2 * ask_gap, kAskAgainMost);
+  }
+  void ask() {
+    if (now < ask_at) return wake_by(ask_at);
+    ask_at = kNever;   // one answer or one failure comes
+    out->push_back(action::Subscribe{true});
+  }
+
+  // ---- Messages. ----
+  double value(const Message& m, Time t) const {
+    if (t >= m.deadline) return 0;
+    if (t <= m.aim) return m.worth;
+    const double late = m.cls->late_worth, past = seconds(t - m.aim);
+    if (set.decay == Decay::halves) return m.worth * std::max(late, std::exp2(-past / seconds(m.cls->aim)));
+    return m.worth * (1 - (1 - late) * past / std::max(1e-6, seconds(m.deadline - m.aim)));
+  }
+  // What waiting one more short aim would lose, and a little for what is there to win.
+  double urgency(const Message& m, Time answer) const {
+    const double v = value(m, answer);
+    return v - value(m, answer + micros(shortest_aim)) + 0.1 * v;
+  }
+  void on(const event::Arrival& ev) {
+    Message& m = messages[ev.id];
+    m.id = ev.id, m.destination = ev.destination, m.key = ev.order_key;
+    m.cls = &set.classes[static_cast<std::size_t>(ev.message_class)];
+    m.deadline = now + ev.time_left, m.ready = now;
+    m.aim = m.deadline - m.cls->deadline + m.cls->aim;
+    m.worth = m.cls->worth * share_left(ev.tenant);
+    if (!m.cls->ordered) m.key.clear();
+    if (!m.key.empty()) keys[m.key].line.push_back(m.id);
+  }
+  // Beyond its share a tenant's messages are worth little; the share is split over the relays.
+  double share_left(int tenant) {
+    if (tenant < 0 || tenant >= static_cast<int>(set.tenants.size())) return 1;
+    const auto i = static_cast<std::size_t>(tenant);
+    const double quota = set.tenants[i].quota_per_s / set.relays;
+    if (quota <= 0) return 1;
+    const double tokens = share_tokens[i] + quota * seconds(now - share_at[i]);
+    share_tokens[i] = std::min(tokens, burst_of(set.tenants[i]));
+    share_at[i] = now;
+    if (share_tokens[i] < 1) return set.over_share_worth;
+    share_tokens[i] -= 1;
+    return 1;
+  }
+  bool may_refuse(const Message& m) const {
+    if (m.cls->effect == Effect::safe) return true;
+    if (m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::all) return true;
+    return m.out.empty() && m.may_ran_at == nullptr;
+  }
+  void finish(Message& m, bool again) {
+    if (m.over) return;
+    m.over = true;
+    if (again && may_refuse(m)) out->push_back(action::Refuse{m.id, micros(unit * kInitial)});
+    else out->push_back(action::Fail{m.id});
+  }
+  // Forgets a message that is over and has nothing out, and lets the next of its key step up.
+  void forget(std::map<MessageId, Message>::iterator it) {
+    Message& m = it->second;
+    if (!m.over || !m.out.empty()) return;
+    if (!m.key.empty()) {
+      auto& line = keys[m.key].line;
+      line.erase(std::find(line.begin(), line.end(), m.id));
+    }
+    messages.erase(it);
+  }
+  void on(const event::Withdrawn& ev) {
+    auto it = messages.find(ev.id);
+    if (it == messages.end()) return;
+    it->second.over = true;
+    forget(it);
+  }
+  void on(const event::TimerDue&) {
+    if (now >= timer_at) timer_at = kNever;
+  }
+  void on(const event::ProbeEnded&) {}
+  void on(const event::PeerNote&) {}
+
+  void on(const event::AttemptEnded& ev) {
+    auto it = messages.find(ev.id);
+    if (it == messages.end()) return;
+    Message& m = it->second;
+    auto attempt = m.out.find(ev.attempt);
+    if (attempt == m.out.end()) return;
+    auto call_it = calls.find(attempt->second);
+    Call& call = call_it->second;
+    EndpointState& e = *call.endpoint;
+    const Time sent = call.sent;
+    m.out.erase(attempt);
+    const bool last = --call.left == 0;
+    if (last) e.calls.erase(call_it->first);
+    if (!call.judged && ev.outcome != Outcome::not_sent && ev.outcome != Outcome::cancelled) {
+      call.judged = true;
+      if (ev.outcome == Outcome::served) call_served(e, ev.latency);
+      else if (ev.outcome == Outcome::full) call_refused(e, ev);
+      else call_failed(e, ev);
+    }
+    if (last) calls.erase(call_it);
+
+    const bool never_ran = ev.outcome == Outcome::full || ev.outcome == Outcome::connect_failed ||
+                           ev.outcome == Outcome::not_sent;
+    if (!never_ran && (m.may_ran_at == nullptr || sent < m.may_ran_sent)) m.may_ran_at = &e, m.may_ran_sent = sent;
+    const bool doubt = ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset ||
+                       ev.outcome == Outcome::cancelled;
+    if (doubt && !m.key.empty()) keys[m.key].rest_until = now + set.settle_after_doubt;
+    if (ev.closed || ev.outcome == Outcome::served) m.over = true;
+    if (!m.over && m.out.empty()) {
+      // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
+      const double d = std::max(delay_now(target_of(e)), kLeast * unit);
+      m.ready = now + micros(jittered(d));
+      const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_at != nullptr;
+      if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m, false);
+    }
+    forget(it);
+  }
+  // After this a send can't be made any more: the deadline, or the end of the key's window.
+  Time latest_send(const Message& m) const {
+    Time t = m.deadline - 2 * set.tick;
+    if (m.cls->effect == Effect::keyed && m.may_ran_at != nullptr)
+      t = std::min(t, m.may_ran_sent + m.cls->key_window - set.tick);
+    return t;
+  }
+
+  // ---- The gate. Every send passes here; it tells when to look again. ----
+  bool passes(const Message& m, EndpointState& e, Time& when) {
+    if (e.info.listing != Listing::active) return false;
+    if (m.may_ran_at != nullptr && m.cls->effect == Effect::keyed) {
+      if (m.cls->group == KeyGroup::zone && e.info.zone != m.may_ran_at->info.zone) return false;
+    }
+    Target& t = target_of(e);
+    if (t.wait_until > now) return when = std::min(when, t.wait_until), false;
+    if (room_in_call(e)) return true;
+    if (calls.size() >= static_cast<std::size_t>(set.slots)) return false;
+    const Time ready = std::max(budget_ready(e), pace_ready(t));
+    if (ready > now) return when = std::min(when, ready), false;
+    if (e.health == Health::closed && m.cls->effect == Effect::unsafe && e.doubt_run && now < m.aim) {
+      // A trial call that may be lost is no place for a message that can't be repeated.
+      return when = std::min(when, m.aim), false;
+    }
+    return static_cast<int>(e.calls.size()) < call_limit(e);
+  }
+  bool room_in_call(const EndpointState& e) const {
+    if (e.open_call == 0) return false;
+    auto it = calls.find(e.open_call);
+    return it != calls.end() && it->second.sent == now && it->second.messages < e.bundle_max;
+  }
+  // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
+  int call_limit(EndpointState& e) {
+    if (e.health == Health::closed) return 1 + static_cast<int>(e.calls.size());   // trials are spaced
+    const int late = overdue(e);
+    const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots) + late * 0.0
+                                                   : std::max(1.0, std::ceil(set.slots * kTargetSlots));
+    double limit = std::min(most, kBaseCalls + 3 * e.served.at(now) * e.latency);
+    if (e.call_cap > 0) limit = std::min<double>(limit, e.call_cap);
+    return std::max(1, static_cast<int>(limit));
+  }
+  // Cheaper first: shorter expected wait there, its fee, the distance.
+  double price(const EndpointState& e) const {
+    const auto zone = static_cast<std::size_t>(e.info.zone);
+    const double fee = e.apart && zone < set.zone_fees.size() ? set.zone_fees[zone] : 0;
+    const double load = static_cast<double>(e.calls.size()) + 1 + e.fail_run;
+    return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) + (e.info.zone == set.zone ? 0 : 0.02);
+  }
+  bool try_send(Message& m) {
+    Time when = kNever;
+    if (m.sends >= set.attempts_max || now >= latest_send(m)) return false;
+    if (!m.key.empty()) {
+      const KeyLine& k = keys[m.key];
+      const bool own_turn = k.line.front() == m.id;
+      if (!own_turn) return false;
+      if (m.sends == 0 && now < k.rest_until) return wake_by(k.rest_until), false;
+    }
+    EndpointState* best = nullptr;
+    double best_price = 0;
+    for (auto* e : destinations[m.destination].endpoints) {
+      if (!passes(m, *e, when)) continue;
+      const double p = room_in_call(*e) ? -1 : price(*e) * (1 + 0.1 * uniform());
+      if (best == nullptr || p < best_price) best = e, best_price = p;
+    }
+    if (best == nullptr) {
+      if (when < kNever) wake_by(when);
+      return false;
+    }
+    send(m, *best);
+    return true;
+  }
+  void send(Message& m, EndpointState& e) {
+    Target& t = target_of(e);
+    if (!room_in_call(e)) {
+      e.open_call = next_call++;
+      calls[e.open_call] = Call{&e, now, 0, 0, false};
+      e.calls.insert(e.open_call);
+      if (t.pace != kUnbounded) t.tokens -= 1;
+      if (e.health != Health::open) e.budget -= 1;
+      if (e.health == Health::closed) {
+        const double gap = std::max(delay_now(t), kInitial * unit);
+        e.next_trial = now + micros(jittered(std::clamp(1 / ramp_rate(e), gap, std::max(gap, kTrialGapMost))));
+      }
+      if (overdue(e) > 0) drop_idle(e);
+    }
+    Call& call = calls[e.open_call];
+    call.messages++, call.left++;
+    const bool unsafe = m.cls->effect == Effect::unsafe;
+    const double aims = seconds(m.cls->aim) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
+    const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
+    m.out[m.sends++] = e.open_call;
+    out->push_back(action::Send{m.id, e.info.id, timeout});
+  }
+
+  // ---- What goes next. ----
+  void dispatch() {
+    std::vector<std::pair<double, Message*>> waiting;
+    std::vector<MessageId> ended;
+    std::size_t held = 0;
+    for (auto& [id, m] : messages) {
+      if (m.over) continue;
+      held++;
+      const bool in_flight = !m.out.empty();
+      if (now >= (in_flight ? m.deadline : latest_send(m))) {
+        finish(m, false);
+        ended.push_back(id);
+        continue;
+      }
+      wake_by(in_flight ? m.deadline : latest_send(m));
+      if (in_flight) continue;
+      if (m.ready > now) wake_by(m.ready);
+      else waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
+    }
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<Message*> left;
+    for (auto& [u, m] : waiting)
+      if (!try_send(*m)) left.push_back(m);
+    // Buffer nearly full: hand back what is worth least, rather than have the next ones turned away.
+    auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
+    for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
+      if (!may_refuse(*left.back())) continue;
+      finish(*left.back(), true);
+      ended.push_back(left.back()->id);
+    }
+    for (auto id : ended) forget(messages.find(id));
+  }
+
+  void handle(Time at, const std::vector<Event>& events, std::vector<Action>& actions) {
+    now = std::max(now, at), out = &actions, wake = kNever;
+    for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
+    if (set.subscribe) ask();
+    dispatch();
+    if (wake < timer_at && wake < kNever) {
+      timer_at = wake;
+      actions.push_back(action::SetTimer{std::min<Time>(wake - now, 3'600'000'000), 0});
+    }
+    out = nullptr;
+  }
+};
+
+void validate(const Settings& s) {
+  const auto need = [](bool ok, const char* what) {
+    if (!ok) throw std::invalid_argument(std::string("settings: ") + what);
+  };
+  need(!s.classes.empty(), "classes: at least one is needed");
+  for (const auto& c : s.classes) {
+    need(c.aim > 0, "classes.aim: must be above 0");
+    need(c.deadline > 0, "classes.deadline: must be above 0");
+    need(c.worth >= 0 && c.late_worth >= 0, "classes.worth and late_worth: must not be negative");
+    need(c.key_window >= 0, "classes.key_window: must not be negative");
+  }
+  for (const auto& k : s.kinds) need(k.bundle_max >= 1, "kinds.bundle_max: must be 1 or more");
+  for (const auto& t : s.tenants) need(t.quota_per_s >= 0, "tenants.quota_per_s: must not be negative");
+  need(s.relays >= 1, "relays: must be 1 or more");
+  need(s.slots >= 1, "slots: must be 1 or more");
+  need(s.open_max >= 1, "open_max: must be 1 or more");
+  need(s.attempts_max >= 1, "attempts_max: must be 1 or more");
+  need(s.tick >= 0, "tick: must not be negative");
+  need(s.connect_timeout >= 0, "connect_timeout: must not be negative");
+  need(s.drain_grace >= 0 && s.must_ask_in >= 0 && s.settle_after_doubt >= 0 && s.answer_slack >= 0,
+       "drain_grace, must_ask_in, settle_after_doubt, answer_slack: must not be negative");
+  need(s.fall_multiple > 0, "fall_multiple: must be above 0");
+  need(s.overload_for >= 0 && s.cold >= 0, "overload_for and cold: must not be negative");
+  need(s.cold_from >= 0 && s.cold_from <= 1, "cold_from: must lie between 0 and 1");
+}
+
+Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed) {
+  validate(settings);
+  state_ = std::make_unique<State>(settings, seed);
+}
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
+Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
+
+void Dispatcher::handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
+  state_->handle(now, events, actions);
+}
+
+}  // namespace cedarplank
--- /dev/null
+++ b/tests/consumer_test.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Usage: consumer_test.sh BUILD SOURCE WORK [FLAGS]: installs the build, then builds and runs the consumer.
+set -e
+rm -rf "$3"
+cmake --install "$1" --prefix "$3/prefix" >/dev/null
+cmake -S "$2" -B "$3/build" -DCMAKE_PREFIX_PATH="$3/prefix" -DCMAKE_CXX_FLAGS="$4" >/dev/null
+cmake --build "$3/build" >/dev/null
+"$3/build/consumer"
--- /dev/null
+++ b/tests/harness.hpp
@@ -0,0 +1,141 @@
+// Scripted events against the module: fixed seeds, no wall clock, no bench.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+
+namespace cedarplank::testing {
+
+constexpr Time kMs = 1'000, kS = 1'000'000;
+
+inline Settings plain() {
+  Settings s;
+  s.classes = {{.worth = 1, .late_worth = 0, .aim = 1 * kS, .deadline = 6 * kS, .effect = Effect::safe},
+               {.worth = 3, .late_worth = 0.3, .aim = 2 * kS, .deadline = 20 * kS, .effect = Effect::unsafe},
+               {.worth = 1, .late_worth = 0.3, .aim = 2 * kS, .deadline = 20 * kS, .effect = Effect::keyed,
+                .key_window = 5 * kS}};
+  s.kinds = {{}};
+  s.slots = 16;
+  s.open_max = 200;
+  s.attempts_max = 8;
+  s.tick = 5 * kMs;
+  s.answer_slack = 20 * kMs;
+  s.overload_for = 2 * kS;
+  return s;
+}
+
+enum Class { kSafe, kUnsafe, kKeyed };
+
+struct Sent {
+  MessageId id;
+  int attempt;
+  EndpointId endpoint;
+  Time at, timeout;
+};
+
+// Drives one dispatcher: keeps the clock, counts attempts, fires timers, collects what was done.
+class Relay {
+ public:
+  explicit Relay(const Settings& s = plain(), std::uint64_t seed = 1) : dispatcher_(s, seed) {}
+
+  void round(std::vector<Event> events) {
+    std::vector<Action> actions;
+    dispatcher_.handle(now, events, actions);
+    for (const auto& a : actions) {
+      if (const auto* x = std::get_if<action::Send>(&a)) {
+        const Sent one{x->id, attempts_[x->id]++, x->endpoint, now, x->timeout};
+        sent.push_back(one);
+        out.push_back(one);
+      } else if (const auto* r = std::get_if<action::Refuse>(&a)) {
+        refused[r->id] = now;
+      } else if (const auto* f = std::get_if<action::Fail>(&a)) {
+        failed[f->id] = now;
+      } else if (const auto* t = std::get_if<action::SetTimer>(&a)) {
+        timers_.push_back(now + t->after);
+      } else if (std::holds_alternative<action::Subscribe>(a)) {
+        asked.push_back(now);
+      }
+    }
+  }
+  // Fires the timers due up to `until`, then stands there.
+  void run_to(Time until) {
+    while (true) {
+      auto it = std::min_element(timers_.begin(), timers_.end());
+      if (it == timers_.end() || *it > until) break;
+      now = std::max(now, *it);
+      timers_.erase(it);
+      round({event::TimerDue{0}});
+    }
+    now = until;
+  }
+  void list(const std::vector<Endpoint>& endpoints) { round({event::ListWhole{endpoints, false}}); }
+  void change(const Endpoint& e) { round({event::ListChanges{{e}}}); }
+  MessageId arrive(Class c, DestinationId destination = 1, std::string key = "", Time left = 0) {
+    event::Arrival a;
+    a.id = ++last_id_;
+    a.destination = destination;
+    a.message_class = c;
+    a.time_left = left > 0 ? left : plain().classes[c].deadline;
+    a.order_key = std::move(key);
+    round({a});
+    return a.id;
+  }
+  // Ends the oldest attempt of the message that is out.
+  void end(MessageId id, Outcome outcome, Time told_wait = 0) {
+    round({ending(id, outcome, told_wait)});
+  }
+  Event ending(MessageId id, Outcome outcome, Time told_wait = 0) {
+    auto it = std::find_if(out.begin(), out.end(), [&](const Sent& s) { return s.id == id; });
+    EXPECT_NE(it, out.end()) << "message " << id << " has nothing out";
+    event::AttemptEnded e;
+    e.id = id;
+    e.attempt = it->attempt;
+    e.endpoint = it->endpoint;
+    e.outcome = outcome;
+    e.latency = now - it->at;
+    e.closed = outcome == Outcome::served;
+    e.told_wait = told_wait;
+    out.erase(it);
+    return e;
+  }
+  // Lives through `span` in steps of 50 ms; `decide` ends what is out for 100 ms or more, arrivals come at `rate`.
+  template <class Decide>
+  void live(Time span, double rate, Class c, DestinationId destination, Decide decide) {
+    const Time until = now + span;
+    double due = 0;
+    while (now < until) {
+      run_to(now + 50 * kMs);
+      for (const auto& s : std::vector<Sent>(out))
+        if (now - s.at >= 100 * kMs)
+          if (const auto outcome = decide(s)) end(s.id, *outcome);
+      for (due += rate * 0.05; due >= 1; due -= 1) arrive(c, destination);
+    }
+  }
+  int sends_of(MessageId id) const {
+    return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
+  }
+  int sends_between(Time from, Time to, const EndpointId& e = "") const {
+    return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](const Sent& s) {
+      return s.at >= from && s.at < to && (e.empty() || s.endpoint == e);
+    }));
+  }
+
+  Time now = 1 * kS;
+  std::vector<Sent> sent, out;
+  std::map<MessageId, Time> refused, failed;
+  std::vector<Time> asked;
+
+ private:
+  Dispatcher dispatcher_;
+  std::map<MessageId, int> attempts_;
+  std::vector<Time> timers_;
+  MessageId last_id_ = 0;
+};
+
+}  // namespace cedarplank::testing
