--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -0,0 +1,228 @@
+// The ordinary path (LIMD delay, pace) and the departures from it, on scripted events.
+#include "harness.hpp"
+
+#include <optional>
+#include <set>
+#include <stdexcept>
+
+namespace cedarplank::testing {
+namespace {
+
+std::optional<Outcome> serve(const Sent&) { return Outcome::served; }
+
+// The waits between outcome and next try of one message that fails again and again.
+std::vector<Time> waits(Relay& r, int tries, Outcome o) {
+  std::vector<Time> w;
+  const auto id = r.arrive(kSafe, 1, "", 60 * kS);
+  for (int i = 0; i < tries; i++) {
+    r.run_to(r.now + 20 * kMs);
+    r.end(id, o);
+    const Time from = r.now;
+    while (r.out.empty() && r.now < from + 10 * kS) r.run_to(r.now + 5 * kMs);
+    w.push_back(r.now - from);
+  }
+  return w;
+}
+
+TEST(Delay, GrowsByAStepAndIsJittered) {
+  std::set<Time> firsts;
+  for (std::uint64_t seed = 1; seed <= 8; seed++) {
+    Relay r(plain(), seed);
+    r.list({{.id = "a", .destination = 1}});
+    const auto w = waits(r, 2, Outcome::error);
+    EXPECT_GE(w[0], 150 * kMs - 5 * kMs);   // 0.2 s less the jitter
+    EXPECT_LE(w[0], 250 * kMs + 10 * kMs);
+    EXPECT_GE(w[1], 390 * kMs);   // 0.6 s, aged a little, less the jitter
+    firsts.insert(w[0]);
+  }
+  EXPECT_GT(firsts.size(), 3u);
+}
+TEST(Delay, FailuresToldInOneRoundAreOneStep) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  const auto a = r.arrive(kSafe), b = r.arrive(kSafe);
+  r.round({r.ending(a, Outcome::error), r.ending(b, Outcome::error)});
+  const Time from = r.now;
+  r.run_to(from + 260 * kMs);
+  EXPECT_GE(r.sends_of(a) + r.sends_of(b), 3);   // the initial delay, not the next step
+}
+TEST(Delay, FirstTriesSkipIt) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  const auto a = r.arrive(kSafe);
+  r.end(a, Outcome::error);
+  const auto b = r.arrive(kSafe);
+  EXPECT_EQ(r.sends_of(b), 1);
+}
+TEST(Delay, ARetryThatWouldComeTooLateEndsAtOnce) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  const auto a = r.arrive(kSafe, 1, "", 250 * kMs);
+  r.run_to(r.now + 150 * kMs);
+  r.end(a, Outcome::error);
+  EXPECT_EQ(r.failed.count(a), 1u);
+}
+
+TEST(Pace, UnboundedUntilTheFirstRefusal) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.live(5 * kS, 20, kSafe, 1, serve);
+  EXPECT_GE(r.sends_between(r.now - 4 * kS, r.now), 76);
+}
+TEST(Pace, RefusalsFadeAtALimit) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  // Takes ten calls a second, sent twenty.
+  double room = 3;
+  Time last = r.now;
+  int refused = 0, late_refused = 0;
+  const Time from = r.now;
+  r.live(20 * kS, 20, kSafe, 1, [&](const Sent&) -> std::optional<Outcome> {
+    room = std::min(3.0, room + 10 * static_cast<double>(r.now - last) / kS);
+    last = r.now;
+    if (room >= 1) return room -= 1, Outcome::served;
+    refused++;
+    late_refused += r.now > from + 5 * kS;
+    return Outcome::full;
+  });
+  EXPECT_GT(refused, 0);
+  EXPECT_LT(late_refused, 30);   // of 150 calls that the limit takes in that time
+  EXPECT_GT(r.sends_between(r.now - 5 * kS, r.now), 38);   // and what it takes is used
+}
+
+TEST(Bulkhead, ASilentEndpointCannotHoldTheSlotsOfOthers) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}});
+  for (int i = 0; i < 40; i++) r.arrive(kSafe, 1);
+  r.run_to(r.now + 600 * kMs);
+  for (int i = 0; i < 40; i++) r.arrive(kSafe, 1);
+  const auto other = r.arrive(kSafe, 2);
+  EXPECT_EQ(r.sends_of(other), 1);
+  EXPECT_LE(r.out.size(), 9u);
+}
+TEST(Bulkhead, SlotsAreNeverExceeded) {
+  auto s = plain();
+  s.slots = 3;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}, {.id = "c", .destination = 3}});
+  for (int i = 0; i < 9; i++) r.arrive(kSafe, 1 + i % 3);
+  EXPECT_EQ(r.out.size(), 3u);
+}
+TEST(Bundles, ShareOneCallAndOneSlot) {
+  auto s = plain();
+  s.slots = 1;
+  s.kinds[0].bundle_max = 4;
+  Relay r(s);
+  std::vector<Event> events;
+  event::ListWhole list;
+  list.endpoints = {{.id = "a", .destination = 1}};
+  events.push_back(list);
+  for (MessageId id = 100; id < 106; id++) {
+    event::Arrival a;
+    a.id = id, a.destination = 1, a.time_left = 6 * kS;
+    events.push_back(a);
+  }
+  r.round(events);
+  EXPECT_EQ(r.out.size(), 4u);   // one call of four; the slot is taken
+}
+TEST(Worth, TheDearerMessageGoesFirst) {
+  auto s = plain();
+  s.slots = 1;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  const auto first = r.arrive(kSafe);
+  const auto cheap = r.arrive(kSafe), dear = r.arrive(kUnsafe);
+  r.end(first, Outcome::served);
+  EXPECT_EQ(r.sends_of(dear), 1);
+  EXPECT_EQ(r.sends_of(cheap), 0);
+}
+TEST(Worth, AFullBufferHandsBackTheLeast) {
+  auto s = plain();
+  s.open_max = 10;
+  s.slots = 1;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  std::vector<MessageId> dear;
+  for (int i = 0; i < 5; i++) dear.push_back(r.arrive(kUnsafe));
+  for (int i = 0; i < 8; i++) r.arrive(kSafe);
+  EXPECT_GE(r.refused.size(), 3u);
+  for (auto id : dear) EXPECT_EQ(r.refused.count(id), 0u);
+}
+
+TEST(List, IsAskedForAgainWithBackoff) {
+  auto s = plain();
+  s.subscribe = true;
+  Relay r(s);
+  r.round({event::ListWhole{{}, true}});
+  ASSERT_EQ(r.asked.size(), 1u);
+  for (int i = 0; i < 6; i++) {
+    const auto n = r.asked.size();
+    r.round({event::ListFailed{}});
+    r.run_to(r.now + 6 * kS);
+    EXPECT_EQ(r.asked.size(), n + 1);
+  }
+  EXPECT_GT(r.asked[4] - r.asked[3], 0);
+  r.list({{.id = "a", .destination = 1}});
+  const auto n = r.asked.size();
+  r.run_to(r.now + 20 * kS);
+  EXPECT_EQ(r.asked.size(), n);
+}
+TEST(List, TheOldOneServesWhileItIsOutOfReach) {
+  auto s = plain();
+  s.subscribe = true;
+  Relay r(s);
+  r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+  r.round({event::ListFailed{}});
+  const auto id = r.arrive(kSafe);
+  EXPECT_EQ(r.sends_of(id), 1);
+}
+
+TEST(Odd, EventsForWhatIsOverOrUnknownAreIgnored) {
+  Relay r;
+  r.round({});
+  r.round({event::Withdrawn{77}, event::TimerDue{5}, event::AttemptEnded{}, event::ProbeEnded{}, event::PeerNote{}});
+  r.list({{.id = "a", .destination = 1}});
+  const auto id = r.arrive(kSafe);
+  r.change({.id = "a", .destination = 1, .listing = Listing::gone});   // gone while a call is out
+  r.end(id, Outcome::served);
+  r.round({event::Withdrawn{id}});
+  EXPECT_TRUE(r.failed.empty());
+  const auto none = r.arrive(kSafe, 1, "", 1);   // no time left
+  r.run_to(r.now + 100 * kMs);
+  EXPECT_EQ(r.failed.count(none) + r.refused.count(none), 1u);
+}
+TEST(Settings, ThatMakeNoSenseAreNamed) {
+  const auto complaint = [](auto change) {
+    auto s = plain();
+    change(s);
+    try {
+      Dispatcher d(s, 1);
+    } catch (const std::invalid_argument& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  EXPECT_EQ(complaint([](Settings&) {}), "");
+  EXPECT_NE(complaint([](Settings& s) { s.slots = 0; }).find("slots"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes[0].aim = -1; }).find("aim"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.drain_grace = -1; }).find("drain_grace"), std::string::npos);
+}
+TEST(Determinism, EqualSeedsActAlike) {
+  const auto play = [](std::uint64_t seed) {
+    Relay r(plain(), seed);
+    r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
+    int n = 0;
+    r.live(10 * kS, 15, kSafe, 1, [&](const Sent&) -> std::optional<Outcome> {
+      return ++n % 4 == 0 ? Outcome::error : n % 7 == 0 ? Outcome::full : Outcome::served;
+    });
+    std::vector<std::pair<MessageId, Time>> sends;
+    for (const auto& s : r.sent) sends.emplace_back(s.id, s.at);
+    return sends;
+  };
+  EXPECT_EQ(play(3), play(3));
+  EXPECT_NE(play(3), play(4));
+}
+
+}  // namespace
+}  // namespace cedarplank::testing
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
