--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -48,8 +48,8 @@
 constexpr int kBaseCalls = 3;               // calls out that need no served rate to justify them
 // Time-outs.
 constexpr double kTimeoutTimes = 8;         // usual latencies
-constexpr double kSafeTimeoutAims = 1;      // least time-out of repeatable messages, in aims
-constexpr double kUnsafeTimeoutAims = 3;    // and of the others, which a time-out loses
+constexpr double kSafeTimeoutAims = 2.5;      // least time-out of repeatable messages, in aims
+constexpr double kUnsafeTimeoutAims = 5;    // and of the others, which a time-out loses
 constexpr double kFirstLatency = 0.25;      // assumed before the first answer
 // List and buffer.
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
