--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -106,6 +106,7 @@
   Rate served;
   double fail_share = 0;
   int fail_run = 0;          // failed calls since the last serve
+  Time served_at = 0, served_sent = 0;   // last serve, and the newest send among those served
   bool doubt_run = false;    // the last failure may have run
   bool idle_closed = false;  // idle connections were dropped in this spell
   Health health = Health::open;
@@ -137,7 +138,7 @@
   double worth = 0;
   Time aim = 0, deadline = 0, ready = 0;
   std::string key;
-  int sends = 0;
+  int sends = 0, gave_up = -1;   // attempts made; the last one that was cancelled
   std::map<int, std::uint64_t> out;   // attempt to call
   EndpointState* may_ran_at = nullptr;   // endpoint of the first attempt that may have run
   Time may_ran_sent = 0;
@@ -224,7 +225,8 @@
   int overdue(const EndpointState& e) const {
     const Time late = micros(kOverdueTimes * e.latency + kOverdueMore);
     int n = 0;
-    for (auto id : e.calls) n += now - calls.at(id).sent > late;
+    // Only calls sent since the last serve: one lost among many answered is no sign of silence.
+    for (auto id : e.calls) n += now - calls.at(id).sent > late && calls.at(id).sent >= e.served_at;
     return n;
   }
   void close(EndpointState& e, const char* why) {
@@ -255,8 +257,9 @@
     return e.budget >= 1 ? now : now + micros((1 - e.budget) / rate) + 1;
   }
 
-  void call_served(EndpointState& e, Time latency) {
+  void call_served(EndpointState& e, Time sent, Time latency) {
     Target& t = target_of(e);
+    e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
     t.refusals = 0;
     e.latency += 0.2 * (seconds(latency) - e.latency);
@@ -428,7 +431,7 @@
     if (last) e.calls.erase(call_it->first);
     if (!call.judged && ev.outcome != Outcome::not_sent && ev.outcome != Outcome::cancelled) {
       call.judged = true;
-      if (ev.outcome == Outcome::served) call_served(e, ev.latency);
+      if (ev.outcome == Outcome::served) call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full) call_refused(e, ev);
       else call_failed(e, ev);
     }
@@ -544,6 +547,20 @@
     out->push_back(action::Send{m.id, e.info.id, timeout});
   }
 
+  // Guards against calls taken and never answered while others are: they would hold slots, and repeatable
+  // messages, until the long time-out that slow destinations need. May cut a call that is merely heavy.
+  void give_up_overtaken(Message& m) {
+    const auto [attempt, call_id] = *m.out.begin();
+    Call& call = calls[call_id];
+    if (call.sent >= call.endpoint->served_sent) return;
+    const double least = m.cls->effect == Effect::unsafe ? seconds(m.cls->aim) : 0;
+    const Time due = call.sent + micros(std::max(least, kTimeoutTimes * call.endpoint->latency + kOverdueMore));
+    if (now < due) return wake_by(due);
+    if (m.gave_up == attempt) return;
+    m.gave_up = attempt;
+    out->push_back(action::Cancel{m.id, attempt});
+  }
+
   // ---- What goes next. ----
   void dispatch() {
     std::vector<std::pair<double, Message*>> waiting;
@@ -559,7 +576,10 @@
         continue;
       }
       wake_by(in_flight ? m.deadline : latest_send(m));
-      if (in_flight) continue;
+      if (in_flight) {
+        if (set.cancelling) give_up_overtaken(m);
+        continue;
+      }
       if (m.ready > now) wake_by(m.ready);
       else waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
     }
