--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -299,14 +299,14 @@
     e.fail_run++;
     e.doubt_run = ev.outcome != Outcome::connect_failed;
     e.fail_share += kFailMemory * (1 - e.fail_share);
-    if (ev.outcome == Outcome::timeout) {
+    if (ev.outcome == Outcome::timeout || ev.outcome == Outcome::cancelled) {
       e.latency = std::max(e.latency, std::min(e.latency * 2, seconds(ev.latency)));
       drop_idle(e);
     }
     if (e.health != Health::open || e.fail_run + overdue(e) >= kCloseRun || e.fail_share > kMostFail)
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
-               : ev.outcome == Outcome::timeout      ? "silent"
-                                                     : "errors");
+               : ev.outcome == Outcome::error        ? "errors"
+                                                     : "silent");
   }
   // Guards against unsafe messages lost in silence: a fresh connection fails provably, an old one doesn't.
   void drop_idle(EndpointState& e) {
@@ -429,7 +429,9 @@
     m.out.erase(attempt);
     const bool last = --call.left == 0;
     if (last) e.calls.erase(call_it->first);
-    if (!call.judged && ev.outcome != Outcome::not_sent && ev.outcome != Outcome::cancelled) {
+    // A call that we gave up in silence is a failure; one that was overtaken says nothing of the endpoint.
+    const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
+    if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
       call.judged = true;
       if (ev.outcome == Outcome::served) call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full) call_refused(e, ev);
@@ -547,16 +549,18 @@
     out->push_back(action::Send{m.id, e.info.id, timeout});
   }
 
-  // Guards against calls taken and never answered while others are: they would hold slots, and repeatable
-  // messages, until the long time-out that slow destinations need. May cut a call that is merely heavy.
-  void give_up_overtaken(Message& m) {
+  // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
+  // the long time-out that slow destinations need. Given up are calls that later ones have overtaken and,
+  // while slots are `short`, overdue ones of repeatable messages. May cut a call that is merely heavy.
+  void give_up(Message& m, bool slots_short) {
     const auto [attempt, call_id] = *m.out.begin();
-    Call& call = calls[call_id];
-    if (call.sent >= call.endpoint->served_sent) return;
-    const double least = m.cls->effect == Effect::unsafe ? seconds(m.cls->aim) : 0;
-    const Time due = call.sent + micros(std::max(least, kTimeoutTimes * call.endpoint->latency + kOverdueMore));
+    const Call& call = calls[call_id];
+    const bool unsafe = m.cls->effect == Effect::unsafe, overtaken = call.sent < call.endpoint->served_sent;
+    if (m.gave_up == attempt || !(overtaken || (slots_short && !unsafe))) return;
+    const double least = unsafe ? seconds(m.cls->aim) : 0;
+    const double times = overtaken ? kTimeoutTimes : kOverdueTimes;
+    const Time due = call.sent + micros(std::max(least, times * call.endpoint->latency + kOverdueMore));
     if (now < due) return wake_by(due);
-    if (m.gave_up == attempt) return;
     m.gave_up = attempt;
     out->push_back(action::Cancel{m.id, attempt});
   }
@@ -566,6 +570,7 @@
     std::vector<std::pair<double, Message*>> waiting;
     std::vector<MessageId> ended;
     std::size_t held = 0;
+    const bool slots_short = calls.size() >= static_cast<std::size_t>(set.slots);
     for (auto& [id, m] : messages) {
       if (m.over) continue;
       held++;
@@ -577,7 +582,7 @@
       }
       wake_by(in_flight ? m.deadline : latest_send(m));
       if (in_flight) {
-        if (set.cancelling) give_up_overtaken(m);
+        if (set.cancelling) give_up(m, slots_short);
         continue;
       }
       if (m.ready > now) wake_by(m.ready);
