--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -559,12 +559,13 @@
 
   // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
   // the long time-out that slow destinations need. Given up are calls that later ones have overtaken and,
-  // while slots are `short`, overdue ones of repeatable messages. May cut a call that is merely heavy.
+  // while slots are short, overdue ones; unsafe messages, which it loses, have an aim's time first. May cut
+  // a call that is merely heavy.
   void give_up(Message& m, bool slots_short) {
     const auto [attempt, call_id] = *m.out.begin();
     const Call& call = calls[call_id];
     const bool unsafe = m.cls->effect == Effect::unsafe, overtaken = call.sent < call.endpoint->served_sent;
-    if (m.gave_up == attempt || !(overtaken || (slots_short && !unsafe))) return;
+    if (m.gave_up == attempt || !(overtaken || slots_short)) return;
     const double least = unsafe ? seconds(m.cls->aim) : 0;
     const double times = overtaken ? kTimeoutTimes : kOverdueTimes;
     const Time due = call.sent + micros(std::max(least, times * call.endpoint->latency + kOverdueMore));
