Bundles shrink on failing calls and grow on served ones

Covers endpoints that stumble over large bundles only; may slow a destination limited in calls after a stray error.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -101,7 +101,7 @@
   Endpoint info;
   Target own;                // used where routes are apart
   bool apart = false;
-  int bundle_max = 1;
+  int bundle_max = 1, bundle = 1;   // messages in a call: at most, and as trusted now
   std::set<std::uint64_t> calls;   // out, oldest first
   double latency = kFirstLatency;
   Rate served;
@@ -273,6 +273,7 @@
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
     }
     e.fail_run = 0, e.idle_closed = false;
+    e.bundle = std::min(e.bundle + 1, e.bundle_max);
     if (e.call_cap > 0 && now - e.capped_at > micros(2)) e.call_cap++, e.capped_at = now;
   }
   void call_refused(EndpointState& e, const event::AttemptEnded& ev) {
@@ -296,8 +297,11 @@
     for (auto* other : destinations[e.info.destination].endpoints)
       if (shut || other->health == Health::closed) other->fail_run++, close(*other, "refuses all");
   }
-  void call_failed(EndpointState& e, const event::AttemptEnded& ev) {
+  void call_failed(EndpointState& e, const event::AttemptEnded& ev, int messages) {
     delay_up(target_of(e));
+    // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
+    // to a doubtful endpoint, and against one that stumbles over large bundles only.
+    e.bundle = std::max(1, std::min(e.bundle, messages) / 2);
     if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() &&
         overdue(e) == 0 && e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
@@ -332,6 +336,7 @@
                                   ? set.kinds[static_cast<std::size_t>(info.kind)]
                                   : KindSettings{};
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
+    if (fresh) e.bundle = e.bundle_max;
     if (fresh) destinations[info.destination].endpoints.push_back(&e);
   }
   void on(const event::ListWhole& ev) {
@@ -443,7 +448,7 @@
       call.judged = true;
       if (ev.outcome == Outcome::served) call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full) call_refused(e, ev);
-      else call_failed(e, ev);
+      else call_failed(e, ev, call.messages);
     }
     if (last) calls.erase(call_it);
 
@@ -492,7 +497,7 @@
   bool room_in_call(const EndpointState& e) const {
     if (e.open_call == 0) return false;
     auto it = calls.find(e.open_call);
-    return it != calls.end() && it->second.sent == now && it->second.messages < e.bundle_max;
+    return it != calls.end() && it->second.sent == now && it->second.messages < e.bundle;
   }
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
