--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -27,6 +27,7 @@
 // Pace.
 constexpr double kRateMemory = 4;           // memory of served-rate estimates
 constexpr double kPaceCut = 0.85;           // on a further refusal
+constexpr double kLeastPace = 1;            // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;             // refusals closer than this are one event
 constexpr double kPaceRaise = 0.15;         // growth a second while calls are served
 constexpr double kPaceRoom = 1.25;          // a cut starts from no more than this times the served rate
@@ -41,7 +42,8 @@
 constexpr double kOverdueMore = 0.3;        // this, is a bad sign
 constexpr double kRampShare = 0.9;          // part of the push-over budget that is used
 constexpr double kLeastCallRate = 0.3;      // calls a second assumed where nothing was served yet
-constexpr double kTrialGapMost = 3;         // seconds between trial calls at the most
+constexpr double kTrialGap = 0.4;           // least seconds between trial calls of all relays together,
+constexpr double kTrialGapMost = 1;         // and the most
 // Slots.
 constexpr double kTargetSlots = 0.5;        // share of the slots for one endpoint at most
 constexpr double kDoubtSlots = 0.125;       // while doubtful
@@ -203,9 +205,10 @@
   }
 
   // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
+  double least_pace() const { return kLeastPace / (shortest_aim * set.relays); }
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
-    const double least = 1 / shortest_aim, recent = std::max(t.served.at(now), least);
+    const double least = least_pace(), recent = std::max(t.served.at(now), least);
     if (t.pace == kUnbounded) t.tokens = 0;
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
     t.cut_at = t.raise_at = t.tokens_at = now;
@@ -235,8 +238,13 @@
     if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
     e.since = now;
-    Target& t = target_of(e);
-    e.next_trial = now + micros(jittered(std::max(delay_now(t), kInitial * unit)));
+    e.next_trial = now + micros(jittered(trial_gap(e)));
+  }
+  // The relays' trial calls add up: with many relays each calls more rarely, else at a destination where
+  // refused calls use up the limit the trials alone would keep it shut.
+  double trial_gap(EndpointState& e) {
+    const double gap = std::max(delay_now(target_of(e)), kTrialGap * set.relays);
+    return std::clamp(1 / ramp_rate(e), gap, std::max(gap, kTrialGapMost * set.relays));
   }
   // Calls a second that a returning endpoint may get from this relay: its part of what it stands.
   double ramp_rate(const EndpointState& e) const {
@@ -281,7 +289,7 @@
     delay_up(t);
     if (t.refusals++ == 0) {
       t.refused_from = now;
-      t.pace_kept = std::min(t.pace, std::max(t.served.at(now), 1 / shortest_aim));
+      t.pace_kept = std::min(t.pace, std::max(t.served.at(now), least_pace()));
     }
     if (e.health != Health::closed) pace_cut(t);
     e.doubt_run = false;
@@ -548,8 +556,7 @@
       if (t.pace != kUnbounded) t.tokens -= 1;
       if (e.health != Health::open) e.budget -= 1;
       if (e.health == Health::closed) {
-        const double gap = std::max(delay_now(t), kInitial * unit);
-        e.next_trial = now + micros(jittered(std::clamp(1 / ramp_rate(e), gap, std::max(gap, kTrialGapMost))));
+        e.next_trial = now + micros(jittered(trial_gap(e)));
       }
       if (overdue(e) > 0) drop_idle(e);
     }
