--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -42,8 +42,7 @@
 constexpr double kOverdueMore = 0.3;        // this, is a bad sign
 constexpr double kRampShare = 0.9;          // part of the push-over budget that is used
 constexpr double kLeastCallRate = 0.3;      // calls a second assumed where nothing was served yet
-constexpr double kTrialGap = 0.4;           // least seconds between trial calls of all relays together,
-constexpr double kTrialGapMost = 1;         // and the most
+constexpr double kTrialGapMost = 1;         // seconds between trial calls of all relays together at the most
 // Slots.
 constexpr double kTargetSlots = 0.5;        // share of the slots for one endpoint at most
 constexpr double kDoubtSlots = 0.125;       // while doubtful
@@ -117,6 +116,7 @@
   Time since = 0;            // of the present health
   double budget = 0;         // calls allowed while closed or in the ramp
   Time budget_at = 0, next_trial = 0;
+  int trials = 0;            // trial calls in this spell
   int call_cap = 0;          // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
   std::uint64_t open_call = 0;   // call begun in this round, for bundling
@@ -235,7 +235,7 @@
   }
   void close(EndpointState& e, const char* why) {
     if (e.health == Health::open) e.usual_rate = std::max(e.served.at(now), kLeastCallRate);
-    if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
+    if (e.health != Health::closed) e.trials = 0, log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
     e.since = now;
     e.next_trial = now + micros(jittered(trial_gap(e)));
@@ -243,8 +243,8 @@
   // The relays' trial calls add up: with many relays each calls more rarely, else at a destination where
   // refused calls use up the limit the trials alone would keep it shut.
   double trial_gap(EndpointState& e) {
-    const double gap = std::max(delay_now(target_of(e)), kTrialGap * set.relays);
-    return std::clamp(1 / ramp_rate(e), gap, std::max(gap, kTrialGapMost * set.relays));
+    const double d = std::max(delay_now(target_of(e)), kInitial * unit);
+    return std::min(d * (1 + e.trials), std::max(d, kTrialGapMost * set.relays));
   }
   // Calls a second that a returning endpoint may get from this relay: its part of what it stands.
   double ramp_rate(const EndpointState& e) const {
@@ -556,6 +556,7 @@
       if (t.pace != kUnbounded) t.tokens -= 1;
       if (e.health != Health::open) e.budget -= 1;
       if (e.health == Health::closed) {
+        e.trials++;
         e.next_trial = now + micros(jittered(trial_gap(e)));
       }
       if (overdue(e) > 0) drop_idle(e);
