--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -30,6 +30,7 @@
 constexpr double kLeastPace = 1;            // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;             // refusals closer than this are one event
 constexpr double kPaceRaise = 0.15;         // growth a second while calls are served
+constexpr double kPaceStep = 0.1;           // and calls in a shortest aim, a second, on top
 constexpr double kPaceRoom = 1.25;          // a cut starts from no more than this times the served rate
 constexpr double kBurst = 0.3;              // seconds of pace that may be saved up
 // Health.
@@ -214,8 +215,8 @@
     t.cut_at = t.raise_at = t.tokens_at = now;
   }
   void pace_raise(Target& t) {
-    const double dt = std::min(seconds(now - t.raise_at), 1.0);
-    if (t.pace != kUnbounded) t.pace *= 1 + kPaceRaise * dt;
+    const double dt = std::min(seconds(now - t.raise_at), std::max(1.0, 2 / t.pace));
+    if (t.pace != kUnbounded) t.pace += dt * (kPaceRaise * t.pace + kPaceStep / shortest_aim);
     t.raise_at = now;
   }
   Time pace_ready(Target& t) {
