--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -30,7 +30,7 @@
 constexpr double kLeastPace = 1;            // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;             // refusals closer than this are one event
 constexpr double kPaceRaise = 0.15;         // growth a second while calls are served
-constexpr double kPaceStep = 0.1;           // and calls in a shortest aim, a second, on top
+constexpr double kPaceStep = 0.25;         // and calls in a shortest aim, a second, on top
 constexpr double kPaceRoom = 1.25;          // a cut starts from no more than this times the served rate
 constexpr double kBurst = 0.3;              // seconds of pace that may be saved up
 // Health.
@@ -306,11 +306,11 @@
     for (auto* other : destinations[e.info.destination].endpoints)
       if (shut || other->health == Health::closed) other->fail_run++, close(*other, "refuses all");
   }
-  void call_failed(EndpointState& e, const event::AttemptEnded& ev, int messages) {
+  void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
     // to a doubtful endpoint, and against one that stumbles over large bundles only.
-    e.bundle = std::max(1, std::min(e.bundle, messages) / 2);
+    e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
     if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() &&
         overdue(e) == 0 && e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -125,6 +125,86 @@
   r.round(events);
   EXPECT_EQ(r.out.size(), 4u);   // one call of four; the slot is taken
 }
+TEST(Bundles, ShrinkWhenCallsFail) {
+  auto s = plain();
+  s.kinds[0].bundle_max = 8;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  const auto burst = [&] {
+    std::vector<Event> events;
+    for (int i = 0; i < 8; i++) {
+      static MessageId id = 1000;
+      event::Arrival a;
+      a.id = ++id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;   // a reset ends them
+      events.push_back(a);
+    }
+    r.round(events);
+  };
+  burst();
+  ASSERT_EQ(r.out.size(), 8u);
+  std::vector<Event> ends;
+  for (const auto& sent : std::vector<Sent>(r.out)) ends.push_back(r.ending(sent.id, Outcome::reset));
+  r.round(ends);
+  ASSERT_EQ(r.failed.size(), 8u);
+  burst();
+  std::size_t first_call = 0;   // doubtful: two calls at most, of four messages each
+  for (const auto& sent : r.out) first_call += sent.at == r.now;
+  EXPECT_EQ(first_call, 8u);
+  ends.clear();
+  for (const auto& sent : std::vector<Sent>(r.out)) ends.push_back(r.ending(sent.id, Outcome::reset));
+  r.round(ends);
+  burst();
+  EXPECT_LE(r.out.size(), 4u);   // two calls of two
+}
+TEST(GiveUp, ACallThatLaterOnesOvertookIsCancelled) {
+  auto s = plain();
+  s.cancelling = true;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.live(3 * kS, 10, kSafe, 1, serve);
+  r.run_to(r.now + 500 * kMs);
+  const auto lost = r.arrive(kSafe);
+  r.live(2 * kS, 10, kSafe, 1, [&](const Sent& sent) -> std::optional<Outcome> {
+    if (sent.id == lost) return std::nullopt;
+    return Outcome::served;
+  });
+  ASSERT_EQ(r.cancelled.count(lost), 1u);
+  r.end(lost, Outcome::cancelled);
+  r.run_to(r.now + 1 * kS);
+  EXPECT_EQ(r.sends_of(lost), 2);   // and tried again
+}
+TEST(GiveUp, OverdueCallsFreeTheSlotsThatOthersNeed) {
+  auto s = plain();
+  s.cancelling = true;
+  s.slots = 3;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}, {.id = "c", .destination = 3}});
+  for (int i = 0; i < 3; i++) r.arrive(kSafe, 1);
+  for (int i = 0; i < 3; i++) r.arrive(kUnsafe, 2);
+  ASSERT_EQ(r.out.size(), 3u);   // all slots taken by what stays silent
+  r.arrive(kSafe, 3);
+  r.run_to(r.now + 4 * kS);
+  EXPECT_GE(r.cancelled.size(), 3u);
+}
+TEST(Shut, ThePaceFromBeforeReturnsWithTheDestination) {
+  auto s = plain();
+  s.cold = 4 * kS;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.live(10 * kS, 20, kSafe, 1, serve);
+  r.live(10 * kS, 20, kSafe, 1, [](const Sent&) -> std::optional<Outcome> { return Outcome::full; });
+  r.live(8 * kS, 20, kSafe, 1, serve);
+  EXPECT_GE(r.sends_between(r.now - 2 * kS, r.now), 30);
+}
+TEST(Shut, TrialsOfManyRelaysDoNotAddUp) {
+  auto s = plain();
+  s.relays = 12;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.live(4 * kS, 2, kSafe, 1, serve);
+  r.live(60 * kS, 2, kSafe, 1, [](const Sent&) -> std::optional<Outcome> { return Outcome::full; });
+  EXPECT_LE(r.sends_between(r.now - 30 * kS, r.now), 5);   // twelve relays: two calls a second at the most
+}
 TEST(Worth, TheDearerMessageGoesFirst) {
   auto s = plain();
   s.slots = 1;
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -59,6 +59,8 @@
         failed[f->id] = now;
       } else if (const auto* t = std::get_if<action::SetTimer>(&a)) {
         timers_.push_back(now + t->after);
+      } else if (const auto* c = std::get_if<action::Cancel>(&a)) {
+        cancelled[c->id] = now;
       } else if (std::holds_alternative<action::Subscribe>(a)) {
         asked.push_back(now);
       }
@@ -129,7 +131,7 @@
 
   Time now = 1 * kS;
   std::vector<Sent> sent, out;
-  std::map<MessageId, Time> refused, failed;
+  std::map<MessageId, Time> refused, failed, cancelled;
   std::vector<Time> asked;
 
  private:
