--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -92,7 +92,6 @@
   Time tokens_at = 0, cut_at = -kNever, raise_at = 0;
   Time wait_until = 0;       // told wait
   Rate served;
-  double pace_kept = 0;      // what to pace by if the refusals turn out to be an outage
   int refusals = 0;          // since the last serve
   Time refused_from = 0;
 };
@@ -288,19 +287,13 @@
   void call_refused(EndpointState& e, const event::AttemptEnded& ev) {
     Target& t = target_of(e);
     delay_up(t);
-    if (t.refusals++ == 0) {
-      t.refused_from = now;
-      t.pace_kept = std::min(t.pace, std::max(t.served.at(now), least_pace()));
-    }
+    if (t.refusals++ == 0) t.refused_from = now;
     if (e.health != Health::closed) pace_cut(t);
     e.doubt_run = false;
     if (ev.told_wait > 0) t.wait_until = std::max(t.wait_until, now + ev.told_wait);
     // Shut, not limited: nothing was served between the refusals.
     const bool shut = t.refusals >= kShutRun && now - t.refused_from >= micros(kShutSpan);
     if (!shut && e.health == Health::open) return;
-    // Departure: refusals of an outage, where trial calls are refused too, tell nothing of the limit, so the
-    // pace from before them returns.
-    if (shut && e.health == Health::closed) t.pace = std::max(t.pace, t.pace_kept);
     e.fail_run = std::max(e.fail_run, 1);
     if (e.apart) return shut || e.health == Health::closed ? close(e, "refuses all") : void();
     for (auto* other : destinations[e.info.destination].endpoints)
