--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -46,6 +46,7 @@
 constexpr double kTrialGapMost = 1;         // seconds between trial calls of all relays together at the most
 // Slots.
 constexpr double kTargetSlots = 0.5;        // share of the slots for one endpoint at most
+constexpr double kTrialSlots = 0.25;        // for trial calls of all closed endpoints
 constexpr double kDoubtSlots = 0.125;       // while doubtful
 constexpr int kBaseCalls = 3;               // calls out that need no served rate to justify them
 // Time-outs.
@@ -317,7 +318,9 @@
       e.latency = std::max(e.latency, std::min(e.latency * 2, seconds(ev.latency)));
       drop_idle(e);
     }
-    if (e.health != Health::open || e.fail_run + overdue(e) >= kCloseRun || e.fail_share > kMostFail)
+    // In the ramp two in a row close again: one stray failure must not start the ramp anew.
+    const int run = e.health == Health::open ? kCloseRun : e.health == Health::ramp ? kCloseRun - 1 : 1;
+    if (e.fail_run + overdue(e) >= run || e.fail_share > kMostFail)
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
                : ev.outcome == Outcome::error        ? "errors"
                                                      : "silent");
@@ -503,14 +506,20 @@
   }
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
-    if (e.health == Health::closed) return 1 + static_cast<int>(e.calls.size());   // trials are spaced
+    // Trials are spaced; all of them out together may hold a part of the slots only.
+    if (e.health == Health::closed) return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
     const int late = overdue(e);
-    const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots) + late * 0.0
+    const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots)
                                                    : std::max(1.0, std::ceil(set.slots * kTargetSlots));
     double limit = std::min(most, kBaseCalls + 3 * e.served.at(now) * e.latency);
     if (e.call_cap > 0) limit = std::min<double>(limit, e.call_cap);
     return std::max(1, static_cast<int>(limit));
   }
+  int trials_out() const {
+    int n = 0;
+    for (const auto& [id, call] : calls) n += call.endpoint->health == Health::closed;
+    return n;
+  }
   // Cheaper first: shorter expected wait there, its fee, the distance.
   double price(const EndpointState& e) const {
     const auto zone = static_cast<std::size_t>(e.info.zone);
@@ -575,7 +584,9 @@
     if (m.gave_up == attempt || !(overtaken || slots_short)) return;
     const double least = unsafe ? seconds(m.cls->aim) : 0;
     const double times = overtaken ? kTimeoutTimes : kOverdueTimes;
-    const Time due = call.sent + micros(std::max(least, times * call.endpoint->latency + kOverdueMore));
+    double after = times * call.endpoint->latency + kOverdueMore;
+    if (slots_short) after = std::min(after, seconds(m.cls->aim));   // later it is worth less anyway
+    const Time due = call.sent + micros(std::max(least, after));
     if (now < due) return wake_by(due);
     m.gave_up = attempt;
     out->push_back(action::Cancel{m.id, attempt});
