--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -53,6 +53,8 @@
 constexpr double kTimeoutTimes = 8;         // usual latencies
 constexpr double kSafeTimeoutAims = 2.5;      // least time-out of repeatable messages, in aims
 constexpr double kUnsafeTimeoutAims = 5;    // and of the others, which a time-out loses
+constexpr double kLatencyGain = 0.2, kUsualGain = 0.02, kSlownessGain = 0.1;   // weights of the newest answer
+constexpr double kMostSlow = 20;            // one answer counts as no more usual latencies than this
 constexpr double kFirstLatency = 0.25;      // assumed before the first answer
 // List and buffer.
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
@@ -105,7 +107,8 @@
   bool apart = false;
   int bundle_max = 1, bundle = 1;   // messages in a call: at most, and as trusted now
   std::set<std::uint64_t> calls;   // out, oldest first
-  double latency = kFirstLatency;
+  double latency = kFirstLatency;   // recent, stretched by calls without an answer
+  double usual = 0;          // long-run latency of the served ones
   Rate served;
   double fail_share = 0;
   int fail_run = 0;          // failed calls since the last serve
@@ -167,6 +170,7 @@
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1;
+  double slowness = 1;       // recent latencies of all serves, in usual ones
   Time timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
@@ -272,7 +276,10 @@
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
     t.refusals = 0;
-    e.latency += 0.2 * (seconds(latency) - e.latency);
+    e.latency += kLatencyGain * (seconds(latency) - e.latency);
+    if (e.usual == 0) e.usual = seconds(latency);
+    slowness += kSlownessGain * (std::min(seconds(latency) / std::max(e.usual, 1e-3), kMostSlow) - slowness);
+    e.usual += kUsualGain * (seconds(latency) - e.usual);
     e.fail_share *= 1 - kFailMemory;
     delay_down(t), pace_raise(t);
     if (e.health == Health::closed) {
@@ -585,7 +592,8 @@
     const double least = unsafe ? seconds(m.cls->aim) : 0;
     const double times = overtaken ? kTimeoutTimes : kOverdueTimes;
     double after = times * call.endpoint->latency + kOverdueMore;
-    if (slots_short) after = std::min(after, seconds(m.cls->aim));   // later it is worth less anyway
+    // Later it is worth less; but where all destinations answer slowly, patience is cheaper than cutting.
+    if (slots_short) after = std::min(after, seconds(m.cls->aim)) * std::max(1.0, slowness);
     const Time due = call.sent + micros(std::max(least, after));
     if (now < due) return wake_by(due);
     m.gave_up = attempt;
