--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -582,13 +582,14 @@
 
   // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
   // the long time-out that slow destinations need. Given up are calls that later ones have overtaken and,
-  // while slots are short, overdue ones; unsafe messages, which it loses, have an aim's time first. May cut
+  // while slots are short, overdue ones where nothing was served since; unsafe messages, which it loses, have an aim's time first. May cut
   // a call that is merely heavy.
   void give_up(Message& m, bool slots_short) {
     const auto [attempt, call_id] = *m.out.begin();
     const Call& call = calls[call_id];
     const bool unsafe = m.cls->effect == Effect::unsafe, overtaken = call.sent < call.endpoint->served_sent;
-    if (m.gave_up == attempt || !(overtaken || slots_short)) return;
+    const bool silent = call.sent >= call.endpoint->served_at;   // answers to earlier calls: slow, at work
+    if (m.gave_up == attempt || !(overtaken || (slots_short && silent))) return;
     const double least = unsafe ? seconds(m.cls->aim) : 0;
     const double times = overtaken ? kTimeoutTimes : kOverdueTimes;
     double after = times * call.endpoint->latency + kOverdueMore;
