--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -582,8 +582,8 @@
 
   // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
   // the long time-out that slow destinations need. Given up are calls that later ones have overtaken and,
-  // while slots are short, overdue ones where nothing was served since; unsafe messages, which it loses, have an aim's time first. May cut
-  // a call that is merely heavy.
+  // while slots are short, sooner, also those since whose send nothing was served there. Unsafe messages,
+  // which it loses, have an aim's time first. May cut a call that is merely heavy.
   void give_up(Message& m, bool slots_short) {
     const auto [attempt, call_id] = *m.out.begin();
     const Call& call = calls[call_id];
@@ -591,7 +591,7 @@
     const bool silent = call.sent >= call.endpoint->served_at;   // answers to earlier calls: slow, at work
     if (m.gave_up == attempt || !(overtaken || (slots_short && silent))) return;
     const double least = unsafe ? seconds(m.cls->aim) : 0;
-    const double times = overtaken ? kTimeoutTimes : kOverdueTimes;
+    const double times = slots_short ? kOverdueTimes : kTimeoutTimes;
     double after = times * call.endpoint->latency + kOverdueMore;
     // Later it is worth less; but where all destinations answer slowly, patience is cheaper than cutting.
     if (slots_short) after = std::min(after, seconds(m.cls->aim)) * std::max(1.0, slowness);
