--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -16,7 +16,9 @@
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
 // ---- Reading fields: `path` says where, for the one line on what is malformed. ----
-[[noreturn]] void malformed(const std::string& path, const char* what) { throw WireError(path + ": " + what); }
+[[noreturn]] void malformed(const std::string& path, const char* what) {
+  throw WireError(path + ": " + what);
+}
 
 // The member, or nullptr where it is absent or null.
 const Value* find(const Value& object, const char* name) {
@@ -76,7 +78,8 @@
 
 // The value that a word of the wire stands for.
 template <class T>
-T word(const std::string& text, std::initializer_list<std::pair<const char*, T>> words, const std::string& path) {
+T word(const std::string& text, std::initializer_list<std::pair<const char*, T>> words,
+       const std::string& path) {
   for (const auto& [name, value] : words)
     if (text == name) return value;
   malformed(path, ("unknown word '" + text + "'").c_str());
@@ -96,7 +99,9 @@
   return it == names.end() ? -1 : it->second;
 }
 
-struct Tables { Names classes, tenants, zones, kinds; };
+struct Tables {
+  Names classes, tenants, zones, kinds;
+};
 
 ClassSettings read_class(const Value& v, const std::string& path) {
   ClassSettings c;
@@ -104,11 +109,10 @@
   c.late_worth = get(v, "LateWorth", path, as_number, 0.0);
   c.aim = get(v, "Target", path, as_integer);
   c.deadline = get(v, "Deadline", path, as_integer);
-  c.effect = word<Effect>(get(v, "Idempotency", path, as_text),
-                          {{"read_like", Effect::safe},
-                           {"idempotency_key", Effect::keyed},
-                           {"non_idempotent", Effect::unsafe}},
-                          path + ".Idempotency");
+  c.effect = word<Effect>(
+      get(v, "Idempotency", path, as_text),
+      {{"read_like", Effect::safe}, {"idempotency_key", Effect::keyed}, {"non_idempotent", Effect::unsafe}},
+      path + ".Idempotency");
   c.group = word<KeyGroup>(get(v, "Group", path, as_text, "all"),
                            {{"all", KeyGroup::all}, {"zone", KeyGroup::zone}, {"cell", KeyGroup::cell}},
                            path + ".Group");
@@ -197,15 +201,24 @@
 
 Outcome read_outcome(const Value& v, const std::string& path) {
   switch (as_integer(v, path)) {
-    case 10: return Outcome::served;
-    case 20: return Outcome::error;
-    case 30: return Outcome::full;
-    case 40: return Outcome::timeout;
-    case 50: return Outcome::connect_failed;
-    case 60: return Outcome::reset;
-    case 70: return Outcome::cancelled;
-    case 80: return Outcome::not_sent;
-    default: malformed(path, "unknown outcome");
+    case 10:
+      return Outcome::served;
+    case 20:
+      return Outcome::error;
+    case 30:
+      return Outcome::full;
+    case 40:
+      return Outcome::timeout;
+    case 50:
+      return Outcome::connect_failed;
+    case 60:
+      return Outcome::reset;
+    case 70:
+      return Outcome::cancelled;
+    case 80:
+      return Outcome::not_sent;
+    default:
+      malformed(path, "unknown outcome");
   }
 }
 
@@ -226,7 +239,9 @@
   ActionWriter(std::string& reply, const std::string& who) : reply_(reply), who_(who) {}
 
   void operator()(const action::Send& a) {
-    line("PLACE", [&](Writer& w) { id(w, a.id), text(w, "Endpoint", a.endpoint), number(w, "GiveUpAfter", a.timeout); });
+    line("PLACE", [&](Writer& w) {
+      id(w, a.id), text(w, "Endpoint", a.endpoint), number(w, "GiveUpAfter", a.timeout);
+    });
   }
   void operator()(const action::Refuse& a) {
     line("BUSY", [&](Writer& w) { id(w, a.id), number(w, "ComeBack", a.come_back); });
@@ -289,7 +304,7 @@
 struct Codec::Instance {
   Tables tables;
   std::optional<Dispatcher> dispatcher;
-  std::string broken;   // why the dispatcher could not be made
+  std::string broken;  // why the dispatcher could not be made
   std::vector<Event> events;
 };
 
@@ -303,7 +318,7 @@
   bool in_batch = false;
   std::map<std::string, Instance> instances;
   std::map<std::int64_t, std::vector<PoolEntry>> pools;
-  std::vector<std::string> acting;   // instances with an event in this batch, in order
+  std::vector<std::string> acting;  // instances with an event in this batch, in order
 
   Instance& instance(const Value& v, const std::string& path) {
     const std::string who = get(v, "Who", path, as_text);
@@ -461,7 +476,7 @@
   } else if (kind == "POOL") {
     impl_->pool(v, kind);
   } else if (kind == "ACCEPTED") {
-    impl_->instance(v, kind);   // no class streams; the attempt's outcome follows
+    impl_->instance(v, kind);  // no class streams; the attempt's outcome follows
   } else {
     Instance& i = impl_->instance(v, kind);
     i.events.push_back(impl_->read_event(kind, v, i.tables));
--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -21,61 +21,61 @@
 using EndpointId = std::string;
 using DestinationId = std::int64_t;
 
-enum class Effect { safe, keyed, unsafe };         // what a repeat may do
-enum class KeyGroup { all, zone, cell };           // which endpoints of a destination drop repeats
-enum class Decay { line, halves };                 // how worth falls after the aim
-enum class WeightKind { none, nominal, rough };    // what Endpoint::weight holds
+enum class Effect { safe, keyed, unsafe };       // what a repeat may do
+enum class KeyGroup { all, zone, cell };         // which endpoints of a destination drop repeats
+enum class Decay { line, halves };               // how worth falls after the aim
+enum class WeightKind { none, nominal, rough };  // what Endpoint::weight holds
 
 struct ClassSettings {
-  double worth = 1;            // full worth of a message
-  double late_worth = 0;       // share of it that is left at the deadline
-  Time aim = 1'000'000;        // delivered within this time, it earns the full worth
-  Time deadline = 5'000'000;   // how long it may be delivered at all
+  double worth = 1;           // full worth of a message
+  double late_worth = 0;      // share of it that is left at the deadline
+  Time aim = 1'000'000;       // delivered within this time, it earns the full worth
+  Time deadline = 5'000'000;  // how long it may be delivered at all
   Effect effect = Effect::safe;
   KeyGroup group = KeyGroup::all;
-  Time key_window = 0;         // keyed: how long a destination remembers the key
-  bool ordered = false;        // messages with the same order key go one at a time
+  Time key_window = 0;   // keyed: how long a destination remembers the key
+  bool ordered = false;  // messages with the same order key go one at a time
 };
 
-struct KindSettings {          // a kind of destination
-  bool routes_apart = false;   // each endpoint has its own limit, pace and outages
-  int bundle_max = 1;          // messages in one call at most
+struct KindSettings {         // a kind of destination
+  bool routes_apart = false;  // each endpoint has its own limit, pace and outages
+  int bundle_max = 1;         // messages in one call at most
 };
 
 struct TenantSettings {
-  double quota_per_s = 0;      // messages a second within the share, over all relays
+  double quota_per_s = 0;  // messages a second within the share, over all relays
 };
 
 struct Settings {
   std::vector<ClassSettings> classes;
   std::vector<KindSettings> kinds;
-  std::vector<TenantSettings> tenants;   // may be empty
-  std::vector<double> zone_fees;         // price of a route apart, by zone; may be empty
+  std::vector<TenantSettings> tenants;  // may be empty
+  std::vector<double> zone_fees;        // price of a route apart, by zone; may be empty
   Decay decay = Decay::line;
   WeightKind weights = WeightKind::none;
-  double over_share_worth = 1;           // worth beyond a tenant's share, as a fraction
-  int relays = 1;                        // how many relays share the destinations
-  int rank = 0;                          // which of them this is
-  int zone = 0;                          // where this relay stands
-  int slots = 1;                         // calls out at once
-  int open_max = 1;                      // messages held at once
-  int attempts_max = 1;                  // attempts for one message
-  bool second_copies = false;            // two attempts of a message may be out together
+  double over_share_worth = 1;  // worth beyond a tenant's share, as a fraction
+  int relays = 1;               // how many relays share the destinations
+  int rank = 0;                 // which of them this is
+  int zone = 0;                 // where this relay stands
+  int slots = 1;                // calls out at once
+  int open_max = 1;             // messages held at once
+  int attempts_max = 1;         // attempts for one message
+  bool second_copies = false;   // two attempts of a message may be out together
   bool cancelling = false;
   bool probes = false;
   bool peers = false;
-  bool subscribe = false;                // list changes come only to those that subscribed
-  Time tick = 1'000;                     // least time between rounds
+  bool subscribe = false;  // list changes come only to those that subscribed
+  Time tick = 1'000;       // least time between rounds
   Time connect_timeout = 1'000'000;
-  Time retry_after_max = 0;              // longest advised absence that a client obeys
-  Time answer_slack = 0;                 // final answers are accepted so long past the deadline
+  Time retry_after_max = 0;  // longest advised absence that a client obeys
+  Time answer_slack = 0;     // final answers are accepted so long past the deadline
   Time drain_grace = 0;
-  Time must_ask_in = 0;                  // 0: no such rule
-  Time settle_after_doubt = 0;           // rest of an order key after an attempt in doubt
-  double fall_multiple = 2;              // times present capacity that topples a cold destination
-  Time overload_for = 1'000'000;         // when kept up for so long
-  double cold_from = 0.2;                // share of capacity right after an outage
-  Time cold = 10'000'000;                // warm after this at the latest
+  Time must_ask_in = 0;           // 0: no such rule
+  Time settle_after_doubt = 0;    // rest of an order key after an attempt in doubt
+  double fall_multiple = 2;       // times present capacity that topples a cold destination
+  Time overload_for = 1'000'000;  // when kept up for so long
+  double cold_from = 0.2;         // share of capacity right after an outage
+  Time cold = 10'000'000;         // warm after this at the latest
 };
 
 // Throws std::invalid_argument naming the setting that makes no sense.
@@ -85,8 +85,8 @@
 
 // Load report of a destination; a negative value was not reported.
 struct Report {
-  double limit_left = -1;   // share of the limit that is left
-  double limit_rate = -1;   // calls a second that the limit allows; 0 where there is none
+  double limit_left = -1;  // share of the limit that is left
+  double limit_rate = -1;  // calls a second that the limit allows; 0 where there is none
 };
 
 enum class Listing { active, draining, gone };
@@ -98,21 +98,26 @@
   int kind = 0;
   Listing listing = Listing::active;
   double weight = 1;
-  Time since = 0;   // when it was added; 0: long ago
+  Time since = 0;  // when it was added; 0: long ago
 };
 
 namespace event {
-struct ListWhole { std::vector<Endpoint> endpoints; bool cached = false; };   // cached: as last seen
-struct ListChanges { std::vector<Endpoint> endpoints; };
+struct ListWhole {
+  std::vector<Endpoint> endpoints;
+  bool cached = false;
+};  // cached: as last seen
+struct ListChanges {
+  std::vector<Endpoint> endpoints;
+};
 struct ListFailed {};
 struct Arrival {
   MessageId id = 0;
   DestinationId destination = 0;
   int message_class = 0;
-  int tenant = -1;          // -1: none
+  int tenant = -1;  // -1: none
   Time time_left = 0;
-  std::string order_key;    // empty: none
-  bool repeat = false;      // the client hands it in again
+  std::string order_key;  // empty: none
+  bool repeat = false;    // the client hands it in again
 };
 struct AttemptEnded {
   MessageId id = 0;
@@ -120,33 +125,71 @@
   EndpointId endpoint;
   Outcome outcome = Outcome::served;
   Time latency = 0;
-  bool closed = false;      // the message is over
-  Time told_wait = 0;       // with full: nothing to that destination for so long
+  bool closed = false;  // the message is over
+  Time told_wait = 0;   // with full: nothing to that destination for so long
   Report report;
 };
-struct Withdrawn { MessageId id = 0; };
-struct TimerDue { std::uint64_t token = 0; };
-struct ProbeEnded { EndpointId endpoint; Outcome outcome = Outcome::served; Time latency = 0; Report report; };
-struct PeerNote { int from = 0; std::string body; };
+struct Withdrawn {
+  MessageId id = 0;
+};
+struct TimerDue {
+  std::uint64_t token = 0;
+};
+struct ProbeEnded {
+  EndpointId endpoint;
+  Outcome outcome = Outcome::served;
+  Time latency = 0;
+  Report report;
+};
+struct PeerNote {
+  int from = 0;
+  std::string body;
+};
 }  // namespace event
 
-using Event = std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival,
-                           event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded,
-                           event::PeerNote>;
+using Event =
+    std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::AttemptEnded,
+                 event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote>;
 
 namespace action {
 // Attempts of a message count from 0 in the order of their sends.
-struct Send { MessageId id = 0; EndpointId endpoint; Time timeout = 0; };
-struct Refuse { MessageId id = 0; Time come_back = 0; };   // final; handing it in again is harmless
-struct Fail { MessageId id = 0; };                         // final; promises nothing
-struct Cancel { MessageId id = 0; int attempt = 0; };
-struct CloseIdle { EndpointId endpoint; };
-struct SetTimer { Time after = 0; std::uint64_t token = 0; };
+struct Send {
+  MessageId id = 0;
+  EndpointId endpoint;
+  Time timeout = 0;
+};
+struct Refuse {
+  MessageId id = 0;
+  Time come_back = 0;
+};  // final; handing it in again is harmless
+struct Fail {
+  MessageId id = 0;
+};  // final; promises nothing
+struct Cancel {
+  MessageId id = 0;
+  int attempt = 0;
+};
+struct CloseIdle {
+  EndpointId endpoint;
+};
+struct SetTimer {
+  Time after = 0;
+  std::uint64_t token = 0;
+};
 struct FetchList {};
-struct Subscribe { bool on = true; };
-struct Probe { EndpointId endpoint; };
-struct TellPeer { int whom = -1; std::string body; };      // -1: every peer
-struct Log { std::string text; };
+struct Subscribe {
+  bool on = true;
+};
+struct Probe {
+  EndpointId endpoint;
+};
+struct TellPeer {
+  int whom = -1;
+  std::string body;
+};  // -1: every peer
+struct Log {
+  std::string text;
+};
 }  // namespace action
 
 using Action = std::variant<action::Send, action::Refuse, action::Fail, action::Cancel, action::CloseIdle,
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -21,44 +21,44 @@
 // LIMD. The source's example figures are 2, 4, 1 with factor 0.2; their ratios are kept, the unit is
 // a share of the shortest aim, because its seconds are long against our deadlines.
 constexpr double kUnitOfAim = 0.1;
-constexpr double kInitial = 2, kIncrement = 4, kLeast = 1, kMost = 20;   // in units
+constexpr double kInitial = 2, kIncrement = 4, kLeast = 1, kMost = 20;  // in units
 constexpr double kFactor = 0.2, kJitter = 0.25;
-constexpr double kAgingHalfLife = 20;       // units: an unused D halves in this time
+constexpr double kAgingHalfLife = 20;  // units: an unused D halves in this time
 // Pace.
-constexpr double kRateMemory = 4;           // memory of served-rate estimates
-constexpr double kPaceCut = 0.85;           // on a further refusal
-constexpr double kLeastPace = 1;            // calls in a shortest aim, of all relays together
-constexpr double kCutGap = 0.3;             // refusals closer than this are one event
-constexpr double kPaceRaise = 0.15;         // growth a second while calls are served
-constexpr double kPaceStep = 0.25;         // and calls in a shortest aim, a second, on top
-constexpr double kPaceRoom = 1.25;          // a cut starts from no more than this times the served rate
-constexpr double kBurst = 0.3;              // seconds of pace that may be saved up
+constexpr double kRateMemory = 4;    // memory of served-rate estimates
+constexpr double kPaceCut = 0.85;    // on a further refusal
+constexpr double kLeastPace = 1;     // calls in a shortest aim, of all relays together
+constexpr double kCutGap = 0.3;      // refusals closer than this are one event
+constexpr double kPaceRaise = 0.15;  // growth a second while calls are served
+constexpr double kPaceStep = 0.25;   // and calls in a shortest aim, a second, on top
+constexpr double kPaceRoom = 1.25;   // a cut starts from no more than this times the served rate
+constexpr double kBurst = 0.3;       // seconds of pace that may be saved up
 // Health.
-constexpr int kCloseRun = 3;                // bad signs without a serve that close an endpoint
-constexpr int kShutRun = 4;                 // refusals without a serve that mean shut, not limited,
-constexpr double kShutSpan = 1.5;           // when they span this time
-constexpr double kMostFail = 0.5;           // share of failing calls that closes an endpoint
-constexpr double kFailMemory = 0.15;        // weight of the newest call in that share
-constexpr double kOverdueTimes = 4;         // a call out this many usual latencies, plus
-constexpr double kOverdueMore = 0.3;        // this, is a bad sign
-constexpr double kRampShare = 0.9;          // part of the push-over budget that is used
-constexpr double kLeastCallRate = 0.3;      // calls a second assumed where nothing was served yet
-constexpr double kTrialGapMost = 1;         // seconds between trial calls of all relays together at the most
+constexpr int kCloseRun = 3;            // bad signs without a serve that close an endpoint
+constexpr int kShutRun = 4;             // refusals without a serve that mean shut, not limited,
+constexpr double kShutSpan = 1.5;       // when they span this time
+constexpr double kMostFail = 0.5;       // share of failing calls that closes an endpoint
+constexpr double kFailMemory = 0.15;    // weight of the newest call in that share
+constexpr double kOverdueTimes = 4;     // a call out this many usual latencies, plus
+constexpr double kOverdueMore = 0.3;    // this, is a bad sign
+constexpr double kRampShare = 0.9;      // part of the push-over budget that is used
+constexpr double kLeastCallRate = 0.3;  // calls a second assumed where nothing was served yet
+constexpr double kTrialGapMost = 1;     // seconds between trial calls of all relays together at the most
 // Slots.
-constexpr double kTargetSlots = 0.5;        // share of the slots for one endpoint at most
-constexpr double kTrialSlots = 0.25;        // for trial calls of all closed endpoints
-constexpr double kDoubtSlots = 0.125;       // while doubtful
-constexpr int kBaseCalls = 3;               // calls out that need no served rate to justify them
+constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
+constexpr double kTrialSlots = 0.25;   // for trial calls of all closed endpoints
+constexpr double kDoubtSlots = 0.125;  // while doubtful
+constexpr int kBaseCalls = 3;          // calls out that need no served rate to justify them
 // Time-outs.
-constexpr double kTimeoutTimes = 8;         // usual latencies
-constexpr double kSafeTimeoutAims = 2.5;      // least time-out of repeatable messages, in aims
-constexpr double kUnsafeTimeoutAims = 5;    // and of the others, which a time-out loses
-constexpr double kLatencyGain = 0.2, kUsualGain = 0.02, kSlownessGain = 0.1;   // weights of the newest answer
-constexpr double kMostSlow = 20;            // one answer counts as no more usual latencies than this
-constexpr double kFirstLatency = 0.25;      // assumed before the first answer
+constexpr double kTimeoutTimes = 8;       // usual latencies
+constexpr double kSafeTimeoutAims = 2.5;  // least time-out of repeatable messages, in aims
+constexpr double kUnsafeTimeoutAims = 5;  // and of the others, which a time-out loses
+constexpr double kLatencyGain = 0.2, kUsualGain = 0.02, kSlownessGain = 0.1;  // weights of the newest answer
+constexpr double kMostSlow = 20;        // one answer counts as no more usual latencies than this
+constexpr double kFirstLatency = 0.25;  // assumed before the first answer
 // List and buffer.
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
-constexpr double kBufferFull = 0.92;        // above this share of the buffer the least worth is refused
+constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
 constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
@@ -93,9 +93,9 @@
   double pace = kUnbounded;  // calls a second of this relay
   double tokens = 1;
   Time tokens_at = 0, cut_at = -kNever, raise_at = 0;
-  Time wait_until = 0;       // told wait
+  Time wait_until = 0;  // told wait
   Rate served;
-  int refusals = 0;          // since the last serve
+  int refusals = 0;  // since the last serve
   Time refused_from = 0;
 };
 
@@ -103,39 +103,39 @@
 
 struct EndpointState {
   Endpoint info;
-  Target own;                // used where routes are apart
+  Target own;  // used where routes are apart
   bool apart = false;
-  int bundle_max = 1, bundle = 1;   // messages in a call: at most, and as trusted now
+  int bundle_max = 1, bundle = 1;  // messages in a call: at most, and as trusted now
   std::set<std::uint64_t> calls;   // out, oldest first
-  double latency = kFirstLatency;   // recent, stretched by calls without an answer
-  double usual = 0;          // long-run latency of the served ones
+  double latency = kFirstLatency;  // recent, stretched by calls without an answer
+  double usual = 0;                // long-run latency of the served ones
   Rate served;
   double fail_share = 0;
-  int fail_run = 0;          // failed calls since the last serve
-  Time served_at = 0, served_sent = 0;   // last serve, and the newest send among those served
-  bool doubt_run = false;    // the last failure may have run
-  bool idle_closed = false;  // idle connections were dropped in this spell
+  int fail_run = 0;                     // failed calls since the last serve
+  Time served_at = 0, served_sent = 0;  // last serve, and the newest send among those served
+  bool doubt_run = false;               // the last failure may have run
+  bool idle_closed = false;             // idle connections were dropped in this spell
   Health health = Health::open;
-  double usual_rate = 0;     // served calls a second before the trouble
-  Time since = 0;            // of the present health
-  double budget = 0;         // calls allowed while closed or in the ramp
+  double usual_rate = 0;  // served calls a second before the trouble
+  Time since = 0;         // of the present health
+  double budget = 0;      // calls allowed while closed or in the ramp
   Time budget_at = 0, next_trial = 0;
-  int trials = 0;            // trial calls in this spell
-  int call_cap = 0;          // calls out at which connects failed; 0: unknown
+  int trials = 0;    // trial calls in this spell
+  int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
-  std::uint64_t open_call = 0;   // call begun in this round, for bundling
+  std::uint64_t open_call = 0;  // call begun in this round, for bundling
 };
 
 struct DestinationState {
-  Target target;             // used where endpoints share a limit
+  Target target;  // used where endpoints share a limit
   std::vector<EndpointState*> endpoints;
 };
 
 struct Call {
   EndpointState* endpoint = nullptr;
   Time sent = 0;
-  int messages = 0, left = 0;   // taken along; without an outcome yet
-  bool judged = false;          // its fate was counted
+  int messages = 0, left = 0;  // taken along; without an outcome yet
+  bool judged = false;         // its fate was counted
 };
 
 struct Message {
@@ -145,14 +145,17 @@
   double worth = 0;
   Time aim = 0, deadline = 0, ready = 0;
   std::string key;
-  int sends = 0, gave_up = -1;   // attempts made; the last one that was cancelled
-  std::map<int, std::uint64_t> out;   // attempt to call
-  EndpointState* may_ran_at = nullptr;   // endpoint of the first attempt that may have run
+  int sends = 0, gave_up = -1;          // attempts made; the last one that was cancelled
+  std::map<int, std::uint64_t> out;     // attempt to call
+  EndpointState* may_ran_at = nullptr;  // endpoint of the first attempt that may have run
   Time may_ran_sent = 0;
   bool over = false;
 };
 
-struct KeyLine { std::deque<MessageId> line; Time rest_until = 0; };
+struct KeyLine {
+  std::deque<MessageId> line;
+  Time rest_until = 0;
+};
 
 }  // namespace
 
@@ -170,7 +173,7 @@
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1;
-  double slowness = 1;       // recent latencies of all serves, in usual ones
+  double slowness = 1;  // recent latencies of all serves, in usual ones
   Time timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
@@ -284,7 +287,7 @@
     delay_down(t), pace_raise(t);
     if (e.health == Health::closed) {
       // Closed on overdue calls alone and they came after all: slow, not out, so nothing is cold.
-      e.health = e.fail_run == 0 && t.refusals == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
+      e.health = e.fail_run == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
       e.since = e.budget_at = now, e.budget = 0;
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
     }
@@ -312,8 +315,8 @@
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
     // to a doubtful endpoint, and against one that stumbles over large bundles only.
     e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
-    if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() &&
-        overdue(e) == 0 && e.health == Health::open) {
+    if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() && overdue(e) == 0 &&
+        e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
       e.call_cap = std::max<int>(1, static_cast<int>(e.calls.size()));
       e.capped_at = now;
@@ -354,8 +357,10 @@
   void on(const event::ListWhole& ev) {
     for (auto& [id, e] : endpoints) e.info.listing = Listing::gone;
     for (const auto& info : ev.endpoints) take(info);
-    if (!ev.cached) subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
-    else if (set.subscribe) ask_at = now;
+    if (!ev.cached)
+      subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
+    else if (set.subscribe)
+      ask_at = now;
   }
   void on(const event::ListChanges& ev) {
     for (const auto& info : ev.endpoints) take(info);
@@ -368,7 +373,7 @@
   }
   void ask() {
     if (now < ask_at) return wake_by(ask_at);
-    ask_at = kNever;   // one answer or one failure comes
+    ask_at = kNever;  // one answer or one failure comes
     out->push_back(action::Subscribe{true});
   }
 
@@ -416,8 +421,10 @@
   void finish(Message& m, bool again) {
     if (m.over) return;
     m.over = true;
-    if (again && may_refuse(m)) out->push_back(action::Refuse{m.id, micros(unit * kInitial)});
-    else out->push_back(action::Fail{m.id});
+    if (again && may_refuse(m))
+      out->push_back(action::Refuse{m.id, micros(unit * kInitial)});
+    else
+      out->push_back(action::Fail{m.id});
   }
   // Forgets a message that is over and has nothing out, and lets the next of its key step up.
   void forget(std::map<MessageId, Message>::iterator it) {
@@ -458,17 +465,21 @@
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
       call.judged = true;
-      if (ev.outcome == Outcome::served) call_served(e, sent, ev.latency);
-      else if (ev.outcome == Outcome::full) call_refused(e, ev);
-      else call_failed(e, ev, call.messages);
+      if (ev.outcome == Outcome::served)
+        call_served(e, sent, ev.latency);
+      else if (ev.outcome == Outcome::full)
+        call_refused(e, ev);
+      else
+        call_failed(e, ev, call.messages);
     }
     if (last) calls.erase(call_it);
 
     const bool never_ran = ev.outcome == Outcome::full || ev.outcome == Outcome::connect_failed ||
                            ev.outcome == Outcome::not_sent;
-    if (!never_ran && (m.may_ran_at == nullptr || sent < m.may_ran_sent)) m.may_ran_at = &e, m.may_ran_sent = sent;
-    const bool doubt = ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset ||
-                       ev.outcome == Outcome::cancelled;
+    if (!never_ran && (m.may_ran_at == nullptr || sent < m.may_ran_sent))
+      m.may_ran_at = &e, m.may_ran_sent = sent;
+    const bool doubt =
+        ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset || ev.outcome == Outcome::cancelled;
     if (doubt && !m.key.empty()) keys[m.key].rest_until = now + set.settle_after_doubt;
     if (ev.closed || ev.outcome == Outcome::served) m.over = true;
     if (!m.over && m.out.empty()) {
@@ -514,7 +525,8 @@
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
     // Trials are spaced; all of them out together may hold a part of the slots only.
-    if (e.health == Health::closed) return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
+    if (e.health == Health::closed)
+      return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
     const int late = overdue(e);
     const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots)
                                                    : std::max(1.0, std::ceil(set.slots * kTargetSlots));
@@ -532,7 +544,8 @@
     const auto zone = static_cast<std::size_t>(e.info.zone);
     const double fee = e.apart && zone < set.zone_fees.size() ? set.zone_fees[zone] : 0;
     const double load = static_cast<double>(e.calls.size()) + 1 + e.fail_run;
-    return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) + (e.info.zone == set.zone ? 0 : 0.02);
+    return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) +
+           (e.info.zone == set.zone ? 0 : 0.02);
   }
   bool try_send(Message& m) {
     Time when = kNever;
@@ -588,7 +601,7 @@
     const auto [attempt, call_id] = *m.out.begin();
     const Call& call = calls[call_id];
     const bool unsafe = m.cls->effect == Effect::unsafe, overtaken = call.sent < call.endpoint->served_sent;
-    const bool silent = call.sent >= call.endpoint->served_at;   // answers to earlier calls: slow, at work
+    const bool silent = call.sent >= call.endpoint->served_at;  // answers to earlier calls: slow, at work
     if (m.gave_up == attempt || !(overtaken || (slots_short && silent))) return;
     const double least = unsafe ? seconds(m.cls->aim) : 0;
     const double times = slots_short ? kOverdueTimes : kTimeoutTimes;
@@ -621,8 +634,10 @@
         if (set.cancelling) give_up(m, slots_short);
         continue;
       }
-      if (m.ready > now) wake_by(m.ready);
-      else waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
+      if (m.ready > now)
+        wake_by(m.ready);
+      else
+        waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
     }
     std::stable_sort(waiting.begin(), waiting.end(),
                      [](const auto& a, const auto& b) { return a.first > b.first; });
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -16,10 +16,12 @@
     R"("HostTypes":["shop"],"FailureDomains":["east"],"Tick":5000,"GroupSize":2})";
 
 std::string start(const std::string& who) {
-  return R"({"kind":"NEW_INSTANCE","Who":")" + who + R"(","RngSeed":18446744073709551615,"Setup":)" + kSetup + "}";
+  return R"({"kind":"NEW_INSTANCE","Who":")" + who + R"(","RngSeed":18446744073709551615,"Setup":)" + kSetup +
+         "}";
 }
 std::string pool(int number, const std::string& endpoint) {
-  return R"({"kind":"POOL","RosterId":)" + std::to_string(number) + R"(,"Elements":[{"Endpoint":")" + endpoint +
+  return R"({"kind":"POOL","RosterId":)" + std::to_string(number) + R"(,"Elements":[{"Endpoint":")" +
+         endpoint +
          R"(","Az":"east","Kind":"shop","Cell":57,"Health":"healthy","CapacityHint":1,"Since":null}]})";
 }
 std::string sync(const std::string& who, int number) {
@@ -62,24 +64,28 @@
 TEST_F(Wire, AnEmptyRound) { EXPECT_EQ(round({}), "{\"kind\":\"OK\"}\n"); }
 
 TEST_F(Wire, AMessageIsSentAndServed) {
-  const auto reply = round({start("relay-3"), pool(0, "10.0.0.1:80"), sync("relay-3", 0), knock("relay-3", 9)});
-  EXPECT_TRUE(has(reply, R"({"kind":"PLACE","Who":"relay-3","Rid":9,"Endpoint":"10.0.0.1:80","GiveUpAfter":)"));
+  const auto reply =
+      round({start("relay-3"), pool(0, "10.0.0.1:80"), sync("relay-3", 0), knock("relay-3", 9)});
+  EXPECT_TRUE(
+      has(reply, R"({"kind":"PLACE","Who":"relay-3","Rid":9,"Endpoint":"10.0.0.1:80","GiveUpAfter":)"));
   EXPECT_TRUE(reply.ends_with("{\"kind\":\"OK\"}\n"));
-  const auto done = round({R"({"kind":"RETURNED","Who":"relay-3","Rid":9,"SendNo":0,"Endpoint":"10.0.0.1:80",)"
-                           R"("Result":10,"DelaySeen":5000,"Closed":true,"RemarkMs":null,"HealthInfo":null})"});
+  const auto done =
+      round({R"({"kind":"RETURNED","Who":"relay-3","Rid":9,"SendNo":0,"Endpoint":"10.0.0.1:80",)"
+             R"("Result":10,"DelaySeen":5000,"Closed":true,"RemarkMs":null,"HealthInfo":null})"});
   EXPECT_FALSE(has(done, "PLACE"));
 }
 TEST_F(Wire, AToldWaitIsInMilliseconds) {
   round({start("relay-0"), pool(0, "a:1"), sync("relay-0", 0), knock("relay-0", 1)});
-  round({R"({"kind":"RETURNED","Who":"relay-0","Rid":1,"SendNo":0,"Endpoint":"a:1","Result":30,"RemarkMs":900})"});
+  round(
+      {R"({"kind":"RETURNED","Who":"relay-0","Rid":1,"SendNo":0,"Endpoint":"a:1","Result":30,"RemarkMs":900})"});
   clock_ += 890'000;
   EXPECT_FALSE(has(round({R"({"kind":"REMINDER","Who":"relay-0","Tag":0})", knock("relay-0", 2)}), "PLACE"));
-  clock_ += 2'000'000;   // the pace set at the refusal counts too
+  clock_ += 2'000'000;  // the pace set at the refusal counts too
   EXPECT_TRUE(has(round({R"({"kind":"REMINDER","Who":"relay-0","Tag":0})"}), "PLACE"));
 }
 TEST_F(Wire, PoolNumbersAreResolvedInEventOrder) {
-  const auto reply = round({start("relay-0"), start("relay-1"), pool(0, "a:1"), sync("relay-0", 0), pool(0, "b:1"),
-                            sync("relay-1", 0), knock("relay-0", 1), knock("relay-1", 2)});
+  const auto reply = round({start("relay-0"), start("relay-1"), pool(0, "a:1"), sync("relay-0", 0),
+                            pool(0, "b:1"), sync("relay-1", 0), knock("relay-0", 1), knock("relay-1", 2)});
   EXPECT_TRUE(has(reply, R"("Who":"relay-0","Rid":1,"Endpoint":"a:1")"));
   EXPECT_TRUE(has(reply, R"("Who":"relay-1","Rid":2,"Endpoint":"b:1")"));
 }
@@ -121,7 +127,8 @@
 }
 TEST_F(Wire, AWronglyTypedFieldIsNamed) {
   round({start("relay-0")});
-  EXPECT_EQ(complaint(R"({"kind":"HANGUP","Who":"relay-0","Rid":"x"})"), "HANGUP.Rid: must be a whole number");
+  EXPECT_EQ(complaint(R"({"kind":"HANGUP","Who":"relay-0","Rid":"x"})"),
+            "HANGUP.Rid: must be a whole number");
 }
 TEST_F(Wire, AnUnknownPoolIsNamed) {
   round({start("relay-0")});
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -1,10 +1,10 @@
 // The ordinary path (LIMD delay, pace) and the departures from it, on scripted events.
-#include "harness.hpp"
-
 #include <optional>
 #include <set>
 #include <stdexcept>
 
+#include "harness.hpp"
+
 namespace cedarplank::testing {
 namespace {
 
@@ -30,9 +30,9 @@
     Relay r(plain(), seed);
     r.list({{.id = "a", .destination = 1}});
     const auto w = waits(r, 2, Outcome::error);
-    EXPECT_GE(w[0], 150 * kMs - 5 * kMs);   // 0.2 s less the jitter
+    EXPECT_GE(w[0], 150 * kMs - 5 * kMs);  // 0.2 s less the jitter
     EXPECT_LE(w[0], 250 * kMs + 10 * kMs);
-    EXPECT_GE(w[1], 390 * kMs);   // 0.6 s, aged a little, less the jitter
+    EXPECT_GE(w[1], 390 * kMs);  // 0.6 s, aged a little, less the jitter
     firsts.insert(w[0]);
   }
   EXPECT_GT(firsts.size(), 3u);
@@ -44,7 +44,7 @@
   r.round({r.ending(a, Outcome::error), r.ending(b, Outcome::error)});
   const Time from = r.now;
   r.run_to(from + 260 * kMs);
-  EXPECT_GE(r.sends_of(a) + r.sends_of(b), 3);   // the initial delay, not the next step
+  EXPECT_GE(r.sends_of(a) + r.sends_of(b), 3);  // the initial delay, not the next step
 }
 TEST(Delay, FirstTriesSkipIt) {
   Relay r;
@@ -86,8 +86,8 @@
     return Outcome::full;
   });
   EXPECT_GT(refused, 0);
-  EXPECT_LT(late_refused, 30);   // of 150 calls that the limit takes in that time
-  EXPECT_GT(r.sends_between(r.now - 5 * kS, r.now), 38);   // and what it takes is used
+  EXPECT_LT(late_refused, 30);                            // of 150 calls that the limit takes in that time
+  EXPECT_GT(r.sends_between(r.now - 5 * kS, r.now), 38);  // and what it takes is used
 }
 
 TEST(Bulkhead, ASilentEndpointCannotHoldTheSlotsOfOthers) {
@@ -123,7 +123,7 @@
     events.push_back(a);
   }
   r.round(events);
-  EXPECT_EQ(r.out.size(), 4u);   // one call of four; the slot is taken
+  EXPECT_EQ(r.out.size(), 4u);  // one call of four; the slot is taken
 }
 TEST(Bundles, ShrinkWhenCallsFail) {
   auto s = plain();
@@ -135,7 +135,7 @@
     for (int i = 0; i < 8; i++) {
       static MessageId id = 1000;
       event::Arrival a;
-      a.id = ++id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;   // a reset ends them
+      a.id = ++id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;  // a reset ends them
       events.push_back(a);
     }
     r.round(events);
@@ -147,14 +147,14 @@
   r.round(ends);
   ASSERT_EQ(r.failed.size(), 8u);
   burst();
-  std::size_t first_call = 0;   // doubtful: two calls at most, of four messages each
+  std::size_t first_call = 0;  // doubtful: two calls at most, of four messages each
   for (const auto& sent : r.out) first_call += sent.at == r.now;
   EXPECT_EQ(first_call, 8u);
   ends.clear();
   for (const auto& sent : std::vector<Sent>(r.out)) ends.push_back(r.ending(sent.id, Outcome::reset));
   r.round(ends);
   burst();
-  EXPECT_LE(r.out.size(), 4u);   // two calls of two
+  EXPECT_LE(r.out.size(), 4u);  // two calls of two
 }
 TEST(GiveUp, ACallThatLaterOnesOvertookIsCancelled) {
   auto s = plain();
@@ -171,7 +171,7 @@
   ASSERT_EQ(r.cancelled.count(lost), 1u);
   r.end(lost, Outcome::cancelled);
   r.run_to(r.now + 1 * kS);
-  EXPECT_EQ(r.sends_of(lost), 2);   // and tried again
+  EXPECT_EQ(r.sends_of(lost), 2);  // and tried again
 }
 TEST(GiveUp, OverdueCallsFreeTheSlotsThatOthersNeed) {
   auto s = plain();
@@ -181,7 +181,7 @@
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}, {.id = "c", .destination = 3}});
   for (int i = 0; i < 3; i++) r.arrive(kSafe, 1);
   for (int i = 0; i < 3; i++) r.arrive(kUnsafe, 2);
-  ASSERT_EQ(r.out.size(), 3u);   // all slots taken by what stays silent
+  ASSERT_EQ(r.out.size(), 3u);  // all slots taken by what stays silent
   r.arrive(kSafe, 3);
   r.run_to(r.now + 4 * kS);
   EXPECT_GE(r.cancelled.size(), 3u);
@@ -203,7 +203,7 @@
   r.list({{.id = "a", .destination = 1}});
   r.live(4 * kS, 2, kSafe, 1, serve);
   r.live(60 * kS, 2, kSafe, 1, [](const Sent&) -> std::optional<Outcome> { return Outcome::full; });
-  EXPECT_LE(r.sends_between(r.now - 30 * kS, r.now), 5);   // twelve relays: two calls a second at the most
+  EXPECT_LE(r.sends_between(r.now - 30 * kS, r.now), 5);  // twelve relays: two calls a second at the most
 }
 TEST(Worth, TheDearerMessageGoesFirst) {
   auto s = plain();
@@ -260,14 +260,15 @@
 TEST(Odd, EventsForWhatIsOverOrUnknownAreIgnored) {
   Relay r;
   r.round({});
-  r.round({event::Withdrawn{77}, event::TimerDue{5}, event::AttemptEnded{}, event::ProbeEnded{}, event::PeerNote{}});
+  r.round({event::Withdrawn{77}, event::TimerDue{5}, event::AttemptEnded{}, event::ProbeEnded{},
+           event::PeerNote{}});
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kSafe);
-  r.change({.id = "a", .destination = 1, .listing = Listing::gone});   // gone while a call is out
+  r.change({.id = "a", .destination = 1, .listing = Listing::gone});  // gone while a call is out
   r.end(id, Outcome::served);
   r.round({event::Withdrawn{id}});
   EXPECT_TRUE(r.failed.empty());
-  const auto none = r.arrive(kSafe, 1, "", 1);   // no time left
+  const auto none = r.arrive(kSafe, 1, "", 1);  // no time left
   r.run_to(r.now + 100 * kMs);
   EXPECT_EQ(r.failed.count(none) + r.refused.count(none), 1u);
 }
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -19,7 +19,11 @@
   Settings s;
   s.classes = {{.worth = 1, .late_worth = 0, .aim = 1 * kS, .deadline = 6 * kS, .effect = Effect::safe},
                {.worth = 3, .late_worth = 0.3, .aim = 2 * kS, .deadline = 20 * kS, .effect = Effect::unsafe},
-               {.worth = 1, .late_worth = 0.3, .aim = 2 * kS, .deadline = 20 * kS, .effect = Effect::keyed,
+               {.worth = 1,
+                .late_worth = 0.3,
+                .aim = 2 * kS,
+                .deadline = 20 * kS,
+                .effect = Effect::keyed,
                 .key_window = 5 * kS}};
   s.kinds = {{}};
   s.slots = 16;
@@ -90,9 +94,7 @@
     return a.id;
   }
   // Ends the oldest attempt of the message that is out.
-  void end(MessageId id, Outcome outcome, Time told_wait = 0) {
-    round({ending(id, outcome, told_wait)});
-  }
+  void end(MessageId id, Outcome outcome, Time told_wait = 0) { round({ending(id, outcome, told_wait)}); }
   Event ending(MessageId id, Outcome outcome, Time told_wait = 0) {
     auto it = std::find_if(out.begin(), out.end(), [&](const Sent& s) { return s.id == id; });
     EXPECT_NE(it, out.end()) << "message " << id << " has nothing out";
@@ -107,7 +109,8 @@
     out.erase(it);
     return e;
   }
-  // Lives through `span` in steps of 50 ms; `decide` ends what is out for 100 ms or more, arrivals come at `rate`.
+  // Lives through `span` in steps of 50 ms; `decide` ends what is out for 100 ms or more, arrivals come at
+  // `rate`.
   template <class Decide>
   void live(Time span, double rate, Class c, DestinationId destination, Decide decide) {
     const Time until = now + span;
@@ -121,7 +124,8 @@
     }
   }
   int sends_of(MessageId id) const {
-    return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
+    return static_cast<int>(
+        std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
   }
   int sends_between(Time from, Time to, const EndpointId& e = "") const {
     return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](const Sent& s) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -6,7 +6,7 @@
 
 TEST(Lost, HeldMessageEndsByItsDeadline) {
   Relay r;
-  const auto id = r.arrive(kSafe, 99);   // a destination with no endpoint
+  const auto id = r.arrive(kSafe, 99);  // a destination with no endpoint
   r.run_to(10 * kS);
   ASSERT_EQ(r.refused.count(id) + r.failed.count(id), 1u);
   const Time at = r.refused.count(id) ? r.refused[id] : r.failed[id];
@@ -79,7 +79,7 @@
   r.run_to(r.now + 2 * kS);
   r.end(id, Outcome::timeout);
   r.run_to(r.now + 2 * kS);
-  ASSERT_EQ(r.sends_of(id), 2);   // inside the window
+  ASSERT_EQ(r.sends_of(id), 2);  // inside the window
   r.run_to(first + 5 * kS - 100 * kMs);
   r.end(id, Outcome::timeout);
   r.run_to(r.now + 15 * kS);
@@ -91,7 +91,7 @@
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kKeyed);
   r.run_to(r.now + 4 * kS);
-  r.end(id, Outcome::full);   // never ran: no window opens
+  r.end(id, Outcome::full);  // never ran: no window opens
   r.run_to(r.now + 4 * kS);
   ASSERT_EQ(r.sends_of(id), 2);
   const Time second = r.sent.back().at;
@@ -104,7 +104,8 @@
   s.classes[kKeyed].group = KeyGroup::zone;
   for (int seed = 1; seed < 6; seed++) {
     Relay r(s, static_cast<std::uint64_t>(seed));
-    r.list({{.id = "a", .destination = 1, .zone = 0}, {.id = "b", .destination = 1, .zone = 1},
+    r.list({{.id = "a", .destination = 1, .zone = 0},
+            {.id = "b", .destination = 1, .zone = 1},
             {.id = "c", .destination = 1, .zone = 1}});
     const auto id = r.arrive(kKeyed);
     const EndpointId first = r.sent[0].endpoint;
@@ -116,7 +117,7 @@
     for (const auto& sent : r.sent) EXPECT_EQ(sent.endpoint == "a", first == "a");
     EXPECT_EQ(r.refused.count(id), 0u);
     r.run_to(r.now + 20 * kS);
-    EXPECT_EQ(r.refused.count(id), 0u);   // it may have run, and not every endpoint drops repeats
+    EXPECT_EQ(r.refused.count(id), 0u);  // it may have run, and not every endpoint drops repeats
   }
 }
 
@@ -179,7 +180,7 @@
   r.run_to(told + 1500 * kMs);
   r.arrive(kSafe);
   EXPECT_EQ(r.sends_between(told + 1, told + 2 * kS), 0);
-  r.arrive(kSafe, 2);   // others are not held
+  r.arrive(kSafe, 2);  // others are not held
   EXPECT_EQ(r.sent.back().endpoint, "c");
   r.run_to(told + 4 * kS);
   EXPECT_GE(r.sends_between(told + 2 * kS, told + 4 * kS), 1);
