--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -186,6 +186,40 @@
   r.run_to(r.now + 4 * kS);
   EXPECT_GE(r.cancelled.size(), 3u);
 }
+TEST(GiveUp, CallsAtASlowEndpointThatStillAnswersAreKept) {
+  auto s = plain();
+  s.cancelling = true;
+  s.slots = 3;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}});
+  const auto early = r.arrive(kSafe, 1);
+  r.run_to(r.now + 900 * kMs);
+  const auto late = r.arrive(kSafe, 1);
+  for (int i = 0; i < 3; i++) r.arrive(kSafe, 2);   // slots are short from here
+  r.run_to(r.now + 300 * kMs);
+  r.end(early, Outcome::served);   // slow, but at work
+  r.run_to(r.now + 1100 * kMs);
+  EXPECT_EQ(r.cancelled.count(late), 0u);
+}
+TEST(Bulkhead, TrialsOfManySilentEndpointsHoldAPartOfTheSlots) {
+  auto s = plain();
+  s.slots = 8;
+  Relay r(s);
+  std::vector<Endpoint> endpoints;
+  for (int d = 1; d <= 12; d++) endpoints.push_back({.id = std::to_string(d), .destination = d});
+  r.list(endpoints);
+  for (int d = 1; d <= 12; d++) {
+    for (int i = 0; i < 4; i++) r.arrive(kSafe, d, "", 60 * kS);
+    for (int i = 0; i < 8 && !r.out.empty(); i++) {   // every call is reset until the endpoint is closed
+      for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::reset);
+      r.run_to(r.now + 1 * kS);
+    }
+  }
+  for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::reset);
+  r.run_to(r.now + 4 * kS);   // from here nothing answers
+  EXPECT_GE(r.out.size(), 1u);
+  EXPECT_LE(r.out.size(), 2u);
+}
 TEST(Shut, ThePaceCutByItsRefusalsRecovers) {
   auto s = plain();
   s.cold = 4 * kS;
