--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -171,6 +171,7 @@
   s.probes = get(limits, "Probes", limits_path, as_bool, false);
   s.peers = get(limits, "Peers", limits_path, as_bool, false);
   s.connect_timeout = get(limits, "ConnectTimeout", limits_path, as_integer, s.connect_timeout);
+  s.connection_idle = get(limits, "ConnIdle", limits_path, as_integer, s.connection_idle);
   s.retry_after_max = get(limits, "MaxRetryAfter", limits_path, as_integer, 0);
 
   const std::string rules_path = path + ".Rules";
--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -67,6 +67,7 @@
   bool subscribe = false;  // list changes come only to those that subscribed
   Time tick = 1'000;       // least time between rounds
   Time connect_timeout = 1'000'000;
+  Time connection_idle = 10'000'000;  // idle connections close by themselves after this
   Time retry_after_max = 0;  // longest advised absence that a client obeys
   Time answer_slack = 0;     // final answers are accepted so long past the deadline
   Time drain_grace = 0;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -56,6 +56,8 @@
 constexpr double kLatencyGain = 0.2, kUsualGain = 0.02, kSlownessGain = 0.1;  // weights of the newest answer
 constexpr double kMostSlow = 20;        // one answer counts as no more usual latencies than this
 constexpr double kFirstLatency = 0.25;  // assumed before the first answer
+// Connections.
+constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
 // List and buffer.
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
@@ -115,6 +117,8 @@
   Time served_at = 0, served_sent = 0;  // last serve, and the newest send among those served
   bool doubt_run = false;               // the last failure may have run
   bool idle_closed = false;             // idle connections were dropped in this spell
+  double use_gap = kMostGap;            // between calls, in the mean
+  Time used_at = -kNever;               // last time a call began or ended
   Health health = Health::open;
   double usual_rate = 0;  // served calls a second before the trouble
   Time since = 0;         // of the present health
@@ -177,6 +181,7 @@
   Time timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
+  std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
     shortest_aim = seconds(set.classes[0].aim);
@@ -342,6 +347,17 @@
     out->push_back(action::CloseIdle{e.info.id});
   }
 
+  // Guards against connection tables filled by idle connections of many relays, and against connections
+  // that die unseen: one that will hardly be used again before its end is closed once its call is over.
+  // Costs a handshake where the next call comes sooner than the mean gap tells.
+  void drop_unused() {
+    for (const auto& id : ended_at) {
+      EndpointState& e = endpoints.at(id);
+      if (e.use_gap > seconds(set.connection_idle)) out->push_back(action::CloseIdle{id});
+    }
+    ended_at.clear();
+  }
+
   // ---- The list. ----
   void take(const Endpoint& info) {
     auto [it, fresh] = endpoints.try_emplace(info.id);
@@ -472,7 +488,7 @@
       else
         call_failed(e, ev, call.messages);
     }
-    if (last) calls.erase(call_it);
+    if (last) calls.erase(call_it), e.used_at = now, ended_at.insert(e.info.id);
 
     const bool never_ran = ev.outcome == Outcome::full || ev.outcome == Outcome::connect_failed ||
                            ev.outcome == Outcome::not_sent;
@@ -576,6 +592,8 @@
       e.open_call = next_call++;
       calls[e.open_call] = Call{&e, now, 0, 0, false};
       e.calls.insert(e.open_call);
+      e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
+      e.used_at = now;
       if (t.pace != kUnbounded) t.tokens -= 1;
       if (e.health != Health::open) e.budget -= 1;
       if (e.health == Health::closed) {
@@ -659,6 +677,7 @@
     for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
     if (set.subscribe) ask();
     dispatch();
+    drop_unused();
     if (wake < timer_at && wake < kNever) {
       timer_at = wake;
       actions.push_back(action::SetTimer{std::min<Time>(wake - now, 3'600'000'000), 0});
@@ -686,6 +705,7 @@
   need(s.attempts_max >= 1, "attempts_max: must be 1 or more");
   need(s.tick >= 0, "tick: must not be negative");
   need(s.connect_timeout >= 0, "connect_timeout: must not be negative");
+  need(s.connection_idle >= 0, "connection_idle: must not be negative");
   need(s.drain_grace >= 0 && s.must_ask_in >= 0 && s.settle_after_doubt >= 0 && s.answer_slack >= 0,
        "drain_grace, must_ask_in, settle_after_doubt, answer_slack: must not be negative");
   need(s.fall_multiple > 0, "fall_multiple: must be above 0");
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -263,6 +263,22 @@
   for (auto id : dear) EXPECT_EQ(r.refused.count(id), 0u);
 }
 
+TEST(Connections, ThoseHardlyUsedAgainAreClosed) {
+  auto s = plain();
+  s.connection_idle = 5 * kS;
+  Relay r(s);
+  r.list({{.id = "rare", .destination = 1}, {.id = "busy", .destination = 2}});
+  r.live(30 * kS, 5, kSafe, 2, serve);
+  for (int i = 0; i < 3; i++) {
+    const auto id = r.arrive(kSafe, 1);
+    r.run_to(r.now + 200 * kMs);
+    r.end(id, Outcome::served);
+    r.run_to(r.now + 20 * kS);
+  }
+  EXPECT_EQ(r.idle_closed["rare"].size(), 3u);
+  for (Time at : r.idle_closed["busy"]) EXPECT_LT(at, 10 * kS);  // until its gaps are known
+}
+
 TEST(List, IsAskedForAgainWithBackoff) {
   auto s = plain();
   s.subscribe = true;
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -65,6 +65,8 @@
         timers_.push_back(now + t->after);
       } else if (const auto* c = std::get_if<action::Cancel>(&a)) {
         cancelled[c->id] = now;
+      } else if (const auto* i = std::get_if<action::CloseIdle>(&a)) {
+        idle_closed[i->endpoint].push_back(now);
       } else if (std::holds_alternative<action::Subscribe>(a)) {
         asked.push_back(now);
       }
@@ -137,6 +139,7 @@
   std::vector<Sent> sent, out;
   std::map<MessageId, Time> refused, failed, cancelled;
   std::vector<Time> asked;
+  std::map<EndpointId, std::vector<Time>> idle_closed;
 
  private:
   Dispatcher dispatcher_;
