--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -58,6 +58,7 @@
 constexpr double kFirstLatency = 0.25;  // assumed before the first answer
 // Connections.
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
+constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
 // List and buffer.
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
@@ -353,7 +354,7 @@
   void drop_unused() {
     for (const auto& id : ended_at) {
       EndpointState& e = endpoints.at(id);
-      if (e.use_gap > seconds(set.connection_idle)) out->push_back(action::CloseIdle{id});
+      if (e.use_gap * set.relays > seconds(set.connection_idle) * kIdleSpared) out->push_back(action::CloseIdle{id});
     }
     ended_at.clear();
   }
