--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -26,6 +26,7 @@
 constexpr double kAgingHalfLife = 20;  // units: an unused D halves in this time
 // Pace.
 constexpr double kRateMemory = 4;    // memory of served-rate estimates
+constexpr double kLongMemory = 30;   // and of what a relay asks of an endpoint, calls a minute
 constexpr double kPaceCut = 0.85;    // on a further refusal
 constexpr double kLeastPace = 1;     // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;      // refusals closer than this are one event
@@ -42,8 +43,9 @@
 constexpr double kOverdueTimes = 4;     // a call out this many usual latencies, plus
 constexpr double kOverdueMore = 0.3;    // this, is a bad sign
 constexpr double kRampShare = 0.9;      // part of the push-over budget that is used
-constexpr double kLeastCallRate = 0.3;  // calls a second assumed where nothing was served yet
-constexpr double kTrialGapMost = 1;     // seconds between trial calls of all relays together at the most
+constexpr double kLeastCalls = 3;       // calls a second of all relays that an endpoint is taken to get
+constexpr double kForgetColds = 3;      // evidence of an outage ages out over so many warm-up times
+constexpr double kEvidence = 3;         // seconds of own calls that must fail to close, kCloseRun at most
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
 constexpr double kTrialSlots = 0.25;   // for trial calls of all closed endpoints
@@ -69,24 +71,26 @@
 double seconds(Time t) { return static_cast<double>(t) * 1e-6; }
 Time micros(double s) { return s > 1e9 ? kNever : static_cast<Time>(s * 1e6); }
 
-// Served calls a second, forgetting old ones.
+// Calls a second, forgetting old ones.
 class Rate {
  public:
+  explicit Rate(double memory = kRateMemory) : memory_(memory) {}
+  void start(Time now) { first_ = last_ = now; }  // else with the first call
   void add(Time now) { decay(now), sum_ += 1; }
   double at(Time now) {
     if (first_ < 0) return 0;
     decay(now);
-    const double seen = 1 - std::exp(-(seconds(now - first_) + 1) / kRateMemory);
-    return sum_ / kRateMemory / seen;
+    const double seen = 1 - std::exp(-(seconds(now - first_) + 1) / memory_);
+    return sum_ / memory_ / seen;
   }
 
  private:
   void decay(Time now) {
     if (first_ < 0) first_ = last_ = now;
-    sum_ *= std::exp(-seconds(now - last_) / kRateMemory);
+    sum_ *= std::exp(-seconds(now - last_) / memory_);
     last_ = now;
   }
-  double sum_ = 0;
+  double memory_, sum_ = 0;
   Time first_ = -1, last_ = 0;
 };
 
@@ -112,13 +116,13 @@
   std::set<std::uint64_t> calls;   // out, oldest first
   double latency = kFirstLatency;  // recent, stretched by calls without an answer
   double usual = 0;                // long-run latency of the served ones
-  Rate served;
+  Rate served, asked{kLongMemory};  // calls served; first tries while open
   double fail_share = 0;
   int fail_run = 0;                     // failed calls since the last serve
   Time served_at = 0, served_sent = 0;  // last serve, and the newest send among those served
   bool doubt_run = false;               // the last failure may have run
   bool idle_closed = false;             // idle connections were dropped in this spell
-  double use_gap = kMostGap;            // between calls, in the mean
+  double use_gap = 0;                   // between calls, in the mean
   Time used_at = -kNever;               // last time a call began or ended
   Health health = Health::open;
   double usual_rate = 0;  // served calls a second before the trouble
@@ -248,19 +252,24 @@
     return n;
   }
   void close(EndpointState& e, const char* why) {
-    if (e.health == Health::open) e.usual_rate = std::max(e.served.at(now), kLeastCallRate);
+    if (e.health == Health::open) {
+      // Each relay starts anywhere between two of its trials, else those of many would come together.
+      e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(), e.budget_at = now;
+    }
     if (e.health != Health::closed) e.trials = 0, log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
     e.since = now;
     e.next_trial = now + micros(jittered(trial_gap(e)));
   }
-  // The relays' trial calls add up: with many relays each calls more rarely, else at a destination where
-  // refused calls use up the limit the trials alone would keep it shut.
   double trial_gap(EndpointState& e) {
-    const double d = std::max(delay_now(target_of(e)), kInitial * unit);
-    return std::min(d * (1 + e.trials), std::max(d, kTrialGapMost * set.relays));
+    return std::max(delay_now(target_of(e)), kInitial * unit) * (1 + e.trials);
+  }
+  // Calls a second that an endpoint out or returning may get from this relay: its part, by its own first
+  // tries, of what the endpoint stands for sure. No floor: with hundreds of relays that each see a call a
+  // minute, floors of one call each would push it over. What is known of an outage ages out.
+  Time health_span(const EndpointState& e) const {
+    return e.health == Health::closed ? micros(kForgetColds * std::max(seconds(set.cold), shortest_aim)) : set.cold;
   }
-  // Calls a second that a returning endpoint may get from this relay: its part of what it stands.
   double ramp_rate(const EndpointState& e) const {
     double warm = set.cold_from;
     if (e.health == Health::ramp && set.cold > 0)
@@ -268,16 +277,18 @@
     return e.usual_rate * set.fall_multiple * kRampShare * std::min(warm, 1.0);
   }
   Time budget_ready(EndpointState& e) {
-    if (e.health == Health::ramp && now - e.since >= set.cold) {
-      e.health = Health::open;
-      log("warm " + e.info.id);
-    }
     if (e.health == Health::open) return now;
+    const Time end = e.since + health_span(e);
+    if (now >= end) {
+      log((e.health == Health::ramp ? "warm " : "forgotten ") + e.info.id);
+      e.health = Health::open, e.fail_run = 0, e.fail_share = 0;
+      return now;
+    }
     const double rate = ramp_rate(e);
     e.budget = std::min(1.0, e.budget + rate * seconds(now - e.budget_at));
     e.budget_at = now;
-    if (e.health == Health::closed) return e.next_trial;
-    return e.budget >= 1 ? now : now + micros((1 - e.budget) / rate) + 1;
+    const Time ready = e.budget >= 1 ? now : std::min(end, now + micros((1 - e.budget) / std::max(rate, 1e-9)) + 1);
+    return e.health == Health::closed ? std::max(ready, e.next_trial) : ready;
   }
 
   void call_served(EndpointState& e, Time sent, Time latency) {
@@ -294,7 +305,7 @@
     if (e.health == Health::closed) {
       // Closed on overdue calls alone and they came after all: slow, not out, so nothing is cold.
       e.health = e.fail_run == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
-      e.since = e.budget_at = now, e.budget = 0;
+      e.since = e.budget_at = now;
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
     }
     e.fail_run = 0, e.idle_closed = false;
@@ -335,8 +346,12 @@
       drop_idle(e);
     }
     // In the ramp two in a row close again: one stray failure must not start the ramp anew.
+    // Where this relay calls seldom, fewer signs must do, else each relay's would come too late.
+    // A single error proves little: some come from sound endpoints too.
+    const int least = ev.outcome == Outcome::error ? 2 : 1;
+    const int few = std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), least, kCloseRun);
     const int run = e.health == Health::open ? kCloseRun : e.health == Health::ramp ? kCloseRun - 1 : 1;
-    if (e.fail_run + overdue(e) >= run || e.fail_share > kMostFail)
+    if (e.fail_run >= few || e.fail_run + overdue(e) >= run || e.fail_share > kMostFail)
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
                : ev.outcome == Outcome::error        ? "errors"
                                                      : "silent");
@@ -368,8 +383,18 @@
                                   ? set.kinds[static_cast<std::size_t>(info.kind)]
                                   : KindSettings{};
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
-    if (fresh) e.bundle = e.bundle_max;
-    if (fresh) destinations[info.destination].endpoints.push_back(&e);
+    if (fresh) e.bundle = e.bundle_max, e.use_gap = set.relays, e.asked.start(now);
+    if (!fresh) return;
+    auto& siblings = destinations[info.destination].endpoints;
+    // A new endpoint of a destination that is out or returning is no way around its siblings' state.
+    const EndpointState* model = nullptr;
+    for (const auto* other : siblings)
+      if (other->info.listing == Listing::active && (model == nullptr || other->health == Health::open)) model = other;
+    if (model != nullptr && !e.apart && model->health != Health::open) {
+      e.health = model->health, e.since = model->since, e.usual_rate = model->usual_rate;
+      e.budget_at = now, e.next_trial = now, e.budget = uniform();
+    }
+    siblings.push_back(&e);
   }
   void on(const event::ListWhole& ev) {
     for (auto& [id, e] : endpoints) e.info.listing = Listing::gone;
@@ -593,6 +618,7 @@
       e.open_call = next_call++;
       calls[e.open_call] = Call{&e, now, 0, 0, false};
       e.calls.insert(e.open_call);
+      if (e.health == Health::open && m.sends == 0) e.asked.add(now);
       e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
       e.used_at = now;
       if (t.pace != kUnbounded) t.tokens -= 1;
