--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -129,7 +129,6 @@
   Time since = 0;         // of the present health
   double budget = 0;      // calls allowed while closed or in the ramp
   Time budget_at = 0, next_trial = 0;
-  int trials = 0;    // trial calls in this spell
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
   std::uint64_t open_call = 0;  // call begun in this round, for bundling
@@ -223,10 +222,12 @@
   }
 
   // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
-  double least_pace() const { return kLeastPace / (shortest_aim * set.relays); }
+  double least_pace(const Target& t) const {
+    return std::exp2(-t.refusals) / std::max(delay_now(t), kInitial * unit);
+  }
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
-    const double least = least_pace(), recent = std::max(t.served.at(now), least);
+    const double least = least_pace(t), recent = std::max(t.served.at(now), least);
     if (t.pace == kUnbounded) t.tokens = 0;
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
     t.cut_at = t.raise_at = t.tokens_at = now;
@@ -256,14 +257,12 @@
       // Each relay starts anywhere between two of its trials, else those of many would come together.
       e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(), e.budget_at = now;
     }
-    if (e.health != Health::closed) e.trials = 0, log("closed " + e.info.id + ": " + why);
+    if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
     e.since = now;
-    e.next_trial = now + micros(jittered(trial_gap(e)));
-  }
-  double trial_gap(EndpointState& e) {
-    return std::max(delay_now(target_of(e)), kInitial * unit) * (1 + e.trials);
+    e.next_trial = now + trial_gap(e);
   }
+  Time trial_gap(EndpointState& e) { return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit))); }
   // Calls a second that an endpoint out or returning may get from this relay: its part, by its own first
   // tries, of what the endpoint stands for sure. No floor: with hundreds of relays that each see a call a
   // minute, floors of one call each would push it over. What is known of an outage ages out.
@@ -623,10 +622,7 @@
       e.used_at = now;
       if (t.pace != kUnbounded) t.tokens -= 1;
       if (e.health != Health::open) e.budget -= 1;
-      if (e.health == Health::closed) {
-        e.trials++;
-        e.next_trial = now + micros(jittered(trial_gap(e)));
-      }
+      if (e.health == Health::closed) e.next_trial = now + trial_gap(e);
       if (overdue(e) > 0) drop_idle(e);
     }
     Call& call = calls[e.open_call];
