--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -30,6 +30,7 @@
 constexpr double kPaceCut = 0.85;    // on a further refusal
 constexpr double kLeastPace = 1;     // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;      // refusals closer than this are one event
+constexpr double kAgainFirst = 0.5, kAgainGain = 0.1;  // share of calls served after a refusal: assumed; weight
 constexpr double kPaceRaise = 0.15;  // growth a second while calls are served
 constexpr double kPaceStep = 0.25;   // and calls in a shortest aim, a second, on top
 constexpr double kPaceRoom = 1.25;   // a cut starts from no more than this times the served rate
@@ -103,6 +104,7 @@
   Time wait_until = 0;  // told wait
   Rate served;
   int refusals = 0;  // since the last serve
+  std::size_t kind = 0;
   Time refused_from = 0;
 };
 
@@ -181,6 +183,7 @@
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1;
+  std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
   double slowness = 1;  // recent latencies of all serves, in usual ones
   Time timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
@@ -192,6 +195,7 @@
     for (const auto& c : set.classes) shortest_aim = std::min(shortest_aim, seconds(c.aim));
     unit = kUnitOfAim * shortest_aim;
     for (const auto& t : set.tenants) share_tokens.push_back(burst_of(t));
+    after_refusal.assign(set.kinds.size() + 1, kAgainFirst);
     share_at.assign(set.tenants.size(), 0);
   }
 
@@ -222,8 +226,14 @@
   }
 
   // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
+  // A relay that calls seldom has no served rate to go by: it may make one call a D, rarer with each refusal
+  // in a row, the more so where such calls were mostly refused again (refused calls use up some limits).
   double least_pace(const Target& t) const {
-    return std::exp2(-t.refusals) / std::max(delay_now(t), kInitial * unit);
+    return std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
+  }
+  void learn_refusal(const Target& t, double served) {
+    double& share = after_refusal[t.kind];
+    if (t.refusals > 0) share += kAgainGain * (served - share);
   }
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
@@ -294,6 +304,7 @@
     Target& t = target_of(e);
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
+    learn_refusal(t, 1);
     t.refusals = 0;
     e.latency += kLatencyGain * (seconds(latency) - e.latency);
     if (e.usual == 0) e.usual = seconds(latency);
@@ -314,6 +325,7 @@
   void call_refused(EndpointState& e, const event::AttemptEnded& ev) {
     Target& t = target_of(e);
     delay_up(t);
+    learn_refusal(t, 0);
     if (t.refusals++ == 0) t.refused_from = now;
     if (e.health != Health::closed) pace_cut(t);
     e.doubt_run = false;
@@ -378,9 +390,9 @@
     auto [it, fresh] = endpoints.try_emplace(info.id);
     EndpointState& e = it->second;
     e.info = info;
-    const KindSettings kind = info.kind >= 0 && info.kind < static_cast<int>(set.kinds.size())
-                                  ? set.kinds[static_cast<std::size_t>(info.kind)]
-                                  : KindSettings{};
+    const auto place = std::min(static_cast<std::size_t>(std::max(info.kind, 0)), set.kinds.size());
+    const KindSettings kind = place < set.kinds.size() ? set.kinds[place] : KindSettings{};
+    e.own.kind = destinations[info.destination].target.kind = place;
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
     if (fresh) e.bundle = e.bundle_max, e.use_gap = set.relays, e.asked.start(now);
     if (!fresh) return;
