--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -68,8 +68,8 @@
   Time tick = 1'000;       // least time between rounds
   Time connect_timeout = 1'000'000;
   Time connection_idle = 10'000'000;  // idle connections close by themselves after this
-  Time retry_after_max = 0;  // longest advised absence that a client obeys
-  Time answer_slack = 0;     // final answers are accepted so long past the deadline
+  Time retry_after_max = 0;           // longest advised absence that a client obeys
+  Time answer_slack = 0;              // final answers are accepted so long past the deadline
   Time drain_grace = 0;
   Time must_ask_in = 0;           // 0: no such rule
   Time settle_after_doubt = 0;    // rest of an order key after an attempt in doubt
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -25,28 +25,32 @@
 constexpr double kFactor = 0.2, kJitter = 0.25;
 constexpr double kAgingHalfLife = 20;  // units: an unused D halves in this time
 // Pace.
-constexpr double kRateMemory = 4;    // memory of served-rate estimates
-constexpr double kLongMemory = 30;   // and of what a relay asks of an endpoint, calls a minute
-constexpr double kPaceCut = 0.85;    // on a further refusal
-constexpr double kLeastPace = 1;     // calls in a shortest aim, of all relays together
-constexpr double kCutGap = 0.3;      // refusals closer than this are one event
-constexpr double kAgainFirst = 0.5, kAgainGain = 0.1;  // share of calls served after a refusal: assumed; weight
+constexpr double kRateMemory = 4;   // memory of served-rate estimates
+constexpr double kLongMemory = 30;  // and of what a relay asks of an endpoint, calls a minute
+constexpr double kPaceCut = 0.85;   // on a further refusal
+constexpr double kLeastPace = 1;    // calls in a shortest aim, of all relays together
+constexpr double kCutGap = 0.3;     // refusals closer than this are one event
+constexpr double kAgainFirst = 0.5,
+                 kAgainGain = 0.1;   // share of calls served after a refusal: assumed; weight
 constexpr double kPaceRaise = 0.15;  // growth a second while calls are served
 constexpr double kPaceStep = 0.25;   // and calls in a shortest aim, a second, on top
 constexpr double kPaceRoom = 1.25;   // a cut starts from no more than this times the served rate
-constexpr double kBurst = 0.3;       // seconds of pace that may be saved up
+constexpr double kFewServes = 2;     // recent serves under which a relay's own pace says little
+constexpr double kLeastThrough = 0.02, kThroughCut = 0.5;  // share let through: at least, and after a refusal
+constexpr double kTellGap = 0.003;                         // seconds a relay between notes of one target
+constexpr double kBurst = 0.3;                             // seconds of pace that may be saved up
 // Health.
-constexpr int kCloseRun = 3;            // bad signs without a serve that close an endpoint
-constexpr int kShutRun = 4;             // refusals without a serve that mean shut, not limited,
-constexpr double kShutSpan = 1.5;       // when they span this time
-constexpr double kMostFail = 0.5;       // share of failing calls that closes an endpoint
-constexpr double kFailMemory = 0.15;    // weight of the newest call in that share
-constexpr double kOverdueTimes = 4;     // a call out this many usual latencies, plus
-constexpr double kOverdueMore = 0.3;    // this, is a bad sign
-constexpr double kRampShare = 0.9;      // part of the push-over budget that is used
-constexpr double kLeastCalls = 3;       // calls a second of all relays that an endpoint is taken to get
-constexpr double kForgetColds = 3;      // evidence of an outage ages out over so many warm-up times
-constexpr double kEvidence = 3;         // seconds of own calls that must fail to close, kCloseRun at most
+constexpr int kCloseRun = 3;          // bad signs without a serve that close an endpoint
+constexpr int kShutRun = 4;           // refusals without a serve that mean shut, not limited,
+constexpr double kShutSpan = 1.5;     // when they span this time
+constexpr double kMostFail = 0.5;     // share of failing calls that closes an endpoint
+constexpr double kFailMemory = 0.15;  // weight of the newest call in that share
+constexpr double kOverdueTimes = 4;   // a call out this many usual latencies, plus
+constexpr double kOverdueMore = 0.3;  // this, is a bad sign
+constexpr double kRampShare = 0.9;    // part of the push-over budget that is used
+constexpr double kLeastCalls = 3;     // calls a second of all relays that an endpoint is taken to get
+constexpr double kForgetColds = 3;    // evidence of an outage ages out over so many warm-up times
+constexpr double kEvidence = 3;       // seconds of own calls that must fail to close, kCloseRun at most
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
 constexpr double kTrialSlots = 0.25;   // for trial calls of all closed endpoints
@@ -66,6 +70,7 @@
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
+const std::string kNoteRefused = "1r";  // a note between relays: its version, its kind, then the endpoint
 constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
@@ -105,6 +110,8 @@
   Rate served;
   int refusals = 0;  // since the last serve
   std::size_t kind = 0;
+  double let_through = 1;  // share of attempts let through after refusals that this relay or others met
+  Time let_at = 0, told_at = -kNever, hold_until = 0;
   Time refused_from = 0;
 };
 
@@ -114,10 +121,10 @@
   Endpoint info;
   Target own;  // used where routes are apart
   bool apart = false;
-  int bundle_max = 1, bundle = 1;  // messages in a call: at most, and as trusted now
-  std::set<std::uint64_t> calls;   // out, oldest first
-  double latency = kFirstLatency;  // recent, stretched by calls without an answer
-  double usual = 0;                // long-run latency of the served ones
+  int bundle_max = 1, bundle = 1;   // messages in a call: at most, and as trusted now
+  std::set<std::uint64_t> calls;    // out, oldest first
+  double latency = kFirstLatency;   // recent, stretched by calls without an answer
+  double usual = 0;                 // long-run latency of the served ones
   Rate served, asked{kLongMemory};  // calls served; first tries while open
   double fail_share = 0;
   int fail_run = 0;                     // failed calls since the last serve
@@ -184,7 +191,7 @@
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1;
   std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
-  double slowness = 1;  // recent latencies of all serves, in usual ones
+  double slowness = 1;                // recent latencies of all serves, in usual ones
   Time timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
@@ -242,6 +249,32 @@
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
     t.cut_at = t.raise_at = t.tokens_at = now;
   }
+  // What all relays meet: a share of the attempts let through, cut and raised as the pace is, told to the
+  // others where notes are allowed. Guards against a limit that hundreds of relays overrun, each with a call
+  // a minute and no rate of its own to pace by. A note is a hint: it closes nothing, and its effect grows
+  // back.
+  double let_through(const Target& t) const {
+    return std::min(1.0, t.let_through * std::exp(kPaceRaise * seconds(now - t.let_at)));
+  }
+  void cut_through(Target& t, const EndpointState& e, bool own) {
+    if (now - t.told_at < micros(std::max(kCutGap, kTellGap * set.relays))) return;
+    const double cut = std::clamp(2 * after_refusal[t.kind], kThroughCut, 1.0);
+    if (cut >= 1) return;  // most calls after a refusal are served: waiting D is enough
+    t.let_through = std::max(kLeastThrough, let_through(t) * cut);
+    t.let_at = t.told_at = now;
+    if (own && set.peers) out->push_back(action::TellPeer{-1, kNoteRefused + e.info.id});
+  }
+  // Whether this attempt is let through; else the target is held for a while.
+  bool let(Target& t) {
+    if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < let_through(t)) return true;
+    t.hold_until = now + micros(jittered(kMost * unit));
+    return wake_by(t.hold_until), false;
+  }
+  void on(const event::PeerNote& ev) {
+    if (ev.body.rfind(kNoteRefused, 0) != 0) return;
+    const auto it = endpoints.find(ev.body.substr(kNoteRefused.size()));
+    if (it != endpoints.end()) cut_through(target_of(it->second), it->second, false);
+  }
   void pace_raise(Target& t) {
     const double dt = std::min(seconds(now - t.raise_at), std::max(1.0, 2 / t.pace));
     if (t.pace != kUnbounded) t.pace += dt * (kPaceRaise * t.pace + kPaceStep / shortest_aim);
@@ -265,19 +298,23 @@
   void close(EndpointState& e, const char* why) {
     if (e.health == Health::open) {
       // Each relay starts anywhere between two of its trials, else those of many would come together.
-      e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(), e.budget_at = now;
+      e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(),
+      e.budget_at = now;
     }
     if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
     e.since = now;
     e.next_trial = now + trial_gap(e);
   }
-  Time trial_gap(EndpointState& e) { return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit))); }
+  Time trial_gap(EndpointState& e) {
+    return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
+  }
   // Calls a second that an endpoint out or returning may get from this relay: its part, by its own first
   // tries, of what the endpoint stands for sure. No floor: with hundreds of relays that each see a call a
   // minute, floors of one call each would push it over. What is known of an outage ages out.
   Time health_span(const EndpointState& e) const {
-    return e.health == Health::closed ? micros(kForgetColds * std::max(seconds(set.cold), shortest_aim)) : set.cold;
+    return e.health == Health::closed ? micros(kForgetColds * std::max(seconds(set.cold), shortest_aim))
+                                      : set.cold;
   }
   double ramp_rate(const EndpointState& e) const {
     double warm = set.cold_from;
@@ -296,7 +333,8 @@
     const double rate = ramp_rate(e);
     e.budget = std::min(1.0, e.budget + rate * seconds(now - e.budget_at));
     e.budget_at = now;
-    const Time ready = e.budget >= 1 ? now : std::min(end, now + micros((1 - e.budget) / std::max(rate, 1e-9)) + 1);
+    const Time ready =
+        e.budget >= 1 ? now : std::min(end, now + micros((1 - e.budget) / std::max(rate, 1e-9)) + 1);
     return e.health == Health::closed ? std::max(ready, e.next_trial) : ready;
   }
 
@@ -327,7 +365,7 @@
     delay_up(t);
     learn_refusal(t, 0);
     if (t.refusals++ == 0) t.refused_from = now;
-    if (e.health != Health::closed) pace_cut(t);
+    if (e.health != Health::closed) pace_cut(t), cut_through(t, e, true);
     e.doubt_run = false;
     if (ev.told_wait > 0) t.wait_until = std::max(t.wait_until, now + ev.told_wait);
     // Shut, not limited: nothing was served between the refusals.
@@ -380,7 +418,8 @@
   void drop_unused() {
     for (const auto& id : ended_at) {
       EndpointState& e = endpoints.at(id);
-      if (e.use_gap * set.relays > seconds(set.connection_idle) * kIdleSpared) out->push_back(action::CloseIdle{id});
+      if (e.use_gap * set.relays > seconds(set.connection_idle) * kIdleSpared)
+        out->push_back(action::CloseIdle{id});
     }
     ended_at.clear();
   }
@@ -400,7 +439,8 @@
     // A new endpoint of a destination that is out or returning is no way around its siblings' state.
     const EndpointState* model = nullptr;
     for (const auto* other : siblings)
-      if (other->info.listing == Listing::active && (model == nullptr || other->health == Health::open)) model = other;
+      if (other->info.listing == Listing::active && (model == nullptr || other->health == Health::open))
+        model = other;
     if (model != nullptr && !e.apart && model->health != Health::open) {
       e.health = model->health, e.since = model->since, e.usual_rate = model->usual_rate;
       e.budget_at = now, e.next_trial = now, e.budget = uniform();
@@ -499,7 +539,6 @@
     if (now >= timer_at) timer_at = kNever;
   }
   void on(const event::ProbeEnded&) {}
-  void on(const event::PeerNote&) {}
 
   void on(const event::AttemptEnded& ev) {
     auto it = messages.find(ev.id);
@@ -559,7 +598,8 @@
       if (m.cls->group == KeyGroup::zone && e.info.zone != m.may_ran_at->info.zone) return false;
     }
     Target& t = target_of(e);
-    if (t.wait_until > now) return when = std::min(when, t.wait_until), false;
+    const Time held = std::max(t.wait_until, t.hold_until);
+    if (held > now) return when = std::min(when, held), false;
     if (room_in_call(e)) return true;
     if (calls.size() >= static_cast<std::size_t>(set.slots)) return false;
     const Time ready = std::max(budget_ready(e), pace_ready(t));
@@ -620,6 +660,7 @@
       if (when < kNever) wake_by(when);
       return false;
     }
+    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best))) return false;
     send(m, *best);
     return true;
   }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -195,9 +195,9 @@
   const auto early = r.arrive(kSafe, 1);
   r.run_to(r.now + 900 * kMs);
   const auto late = r.arrive(kSafe, 1);
-  for (int i = 0; i < 3; i++) r.arrive(kSafe, 2);   // slots are short from here
+  for (int i = 0; i < 3; i++) r.arrive(kSafe, 2);  // slots are short from here
   r.run_to(r.now + 300 * kMs);
-  r.end(early, Outcome::served);   // slow, but at work
+  r.end(early, Outcome::served);  // slow, but at work
   r.run_to(r.now + 1100 * kMs);
   EXPECT_EQ(r.cancelled.count(late), 0u);
 }
@@ -210,13 +210,13 @@
   r.list(endpoints);
   for (int d = 1; d <= 12; d++) {
     for (int i = 0; i < 4; i++) r.arrive(kSafe, d, "", 60 * kS);
-    for (int i = 0; i < 8 && !r.out.empty(); i++) {   // every call is reset until the endpoint is closed
+    for (int i = 0; i < 8 && !r.out.empty(); i++) {  // every call is reset until the endpoint is closed
       for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::reset);
       r.run_to(r.now + 1 * kS);
     }
   }
   for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::reset);
-  r.run_to(r.now + 4 * kS);   // from here nothing answers
+  r.run_to(r.now + 4 * kS);  // from here nothing answers
   EXPECT_GE(r.out.size(), 1u);
   EXPECT_LE(r.out.size(), 2u);
 }
@@ -281,6 +281,65 @@
   r.run_to(r.now + 600 * kMs);
   EXPECT_EQ(r.sends_of(id), 2);  // and rarer with each refusal
 }
+TEST(Notes, RefusalsToldByOthersHoldAttemptsBackForAWhile) {
+  auto s = plain();
+  s.relays = 300, s.peers = true;
+  std::size_t told_sends = 0, quiet_sends = 0;
+  int back = 0;
+  for (std::uint64_t seed = 1; seed <= 20; seed++) {
+    for (const bool told : {false, true}) {
+      Relay r(s, seed);
+      std::vector<Endpoint> endpoints = {{.id = "a", .destination = 1}};
+      for (int d = 2; d < 22; d++) endpoints.push_back({.id = std::to_string(d), .destination = d});
+      r.list(endpoints);
+      for (int d = 2; d < 22; d++) {  // this relay met refusals that came again, elsewhere
+        r.arrive(kSafe, d);
+        for (int i = 0; i < 10; i++) {
+          for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::full);
+          r.run_to(r.now + 200 * kMs);
+        }
+      }
+      for (int i = 0; i < 6 && told; i++) {
+        r.round({event::PeerNote{7, "1ra"}});
+        r.run_to(r.now + 1 * kS);
+      }
+      const auto id = r.arrive(kSafe, 1);
+      (told ? told_sends : quiet_sends) += static_cast<std::size_t>(r.sends_of(id));
+      const auto late = r.arrive(kUnsafe, 1);
+      r.run_to(r.now + 20 * kS);
+      back += r.sends_of(late);
+    }
+  }
+  EXPECT_EQ(quiet_sends, 20u);
+  EXPECT_LT(told_sends, 10u);
+  EXPECT_GE(back, 35);  // of 40: the effect ages out
+}
+TEST(Notes, AreSentOnRefusalsOnlyWhereAllowedAndNotMoreThanOneAWhile) {
+  for (const bool peers : {false, true}) {
+    auto s = plain();
+    s.relays = 300, s.peers = peers;
+    Relay r(s);
+    r.list({{.id = "a", .destination = 1}});
+    r.live(10 * kS, 5, kSafe, 1, [](const Sent&) { return std::optional(Outcome::full); });
+    EXPECT_EQ(r.notes.size() >= 2, peers);
+    EXPECT_EQ(r.notes.empty(), !peers);
+    for (std::size_t i = 0; i + 1 < r.notes.size(); i++)
+      EXPECT_GE(r.notes[i + 1].first - r.notes[i].first, 500 * kMs);
+    for (const auto& note : r.notes) EXPECT_LE(note.second.size(), 256u);
+  }
+}
+TEST(Notes, ThatMakeNoSenseAreIgnored) {
+  auto s = plain();
+  s.peers = true;
+  Relay r(s), same(s);
+  for (auto* one : {&r, &same}) one->list({{.id = "a", .destination = 1}});
+  for (const std::string body : {"", "1", "1r", "2ra", "1rnowhere", "1qa", "ra"})
+    r.round({event::PeerNote{99, body}});
+  r.round({event::PeerNote{-3, std::string(4000, '\xff')}, event::PeerNote{0, std::string("1ra\0", 4)}});
+  for (auto* one : {&r, &same}) one->live(5 * kS, 10, kSafe, 1, serve);
+  ASSERT_EQ(r.sent.size(), same.sent.size());
+  for (std::size_t i = 0; i < r.sent.size(); i++) EXPECT_EQ(r.sent[i].at, same.sent[i].at);
+}
 TEST(Worth, TheDearerMessageGoesFirst) {
   auto s = plain();
   s.slots = 1;
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -65,6 +65,8 @@
         timers_.push_back(now + t->after);
       } else if (const auto* c = std::get_if<action::Cancel>(&a)) {
         cancelled[c->id] = now;
+      } else if (const auto* n = std::get_if<action::TellPeer>(&a)) {
+        notes.emplace_back(now, n->body);
       } else if (const auto* i = std::get_if<action::CloseIdle>(&a)) {
         idle_closed[i->endpoint].push_back(now);
       } else if (std::holds_alternative<action::Subscribe>(a)) {
@@ -140,6 +142,7 @@
   std::map<MessageId, Time> refused, failed, cancelled;
   std::vector<Time> asked;
   std::map<EndpointId, std::vector<Time>> idle_closed;
+  std::vector<std::pair<Time, std::string>> notes;
 
  private:
   Dispatcher dispatcher_;
