--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -30,15 +30,15 @@
 constexpr double kPaceCut = 0.85;   // on a further refusal
 constexpr double kLeastPace = 1;    // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;     // refusals closer than this are one event
-constexpr double kAgainFirst = 0.5,
+constexpr double kAgainFirst = 0.25,
                  kAgainGain = 0.1;   // share of calls served after a refusal: assumed; weight
 constexpr double kPaceRaise = 0.15;  // growth a second while calls are served
 constexpr double kPaceStep = 0.25;   // and calls in a shortest aim, a second, on top
 constexpr double kPaceRoom = 1.25;   // a cut starts from no more than this times the served rate
 constexpr double kFewServes = 2;     // recent serves under which a relay's own pace says little
 constexpr double kLeastThrough = 0.02, kThroughCut = 0.5;  // share let through: at least, and after a refusal
-constexpr double kTellGap = 0.003;                         // seconds a relay between notes of one target
-constexpr double kBurst = 0.3;                             // seconds of pace that may be saved up
+constexpr double kTellGap = 0.03;  // seconds between notes of all relays together: they cost by the receiver
+constexpr double kBurst = 0.3;     // seconds of pace that may be saved up
 // Health.
 constexpr int kCloseRun = 3;          // bad signs without a serve that close an endpoint
 constexpr int kShutRun = 4;           // refusals without a serve that mean shut, not limited,
@@ -111,7 +111,7 @@
   int refusals = 0;  // since the last serve
   std::size_t kind = 0;
   double let_through = 1;  // share of attempts let through after refusals that this relay or others met
-  Time let_at = 0, told_at = -kNever, hold_until = 0;
+  Time let_at = -kNever, told_at = -kNever, hold_until = 0;
   Time refused_from = 0;
 };
 
@@ -192,7 +192,7 @@
   double unit = 0.1, shortest_aim = 1;
   std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
   double slowness = 1;                // recent latencies of all serves, in usual ones
-  Time timer_at = kNever, ask_at = kNever, wake = kNever;
+  Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
   std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
@@ -257,12 +257,15 @@
     return std::min(1.0, t.let_through * std::exp(kPaceRaise * seconds(now - t.let_at)));
   }
   void cut_through(Target& t, const EndpointState& e, bool own) {
-    if (now - t.told_at < micros(std::max(kCutGap, kTellGap * set.relays))) return;
     const double cut = std::clamp(2 * after_refusal[t.kind], kThroughCut, 1.0);
-    if (cut >= 1) return;  // most calls after a refusal are served: waiting D is enough
+    // Where most calls after a refusal are served, waiting D is enough.
+    if (cut >= 1 || now - t.let_at < micros(kCutGap)) return;
     t.let_through = std::max(kLeastThrough, let_through(t) * cut);
-    t.let_at = t.told_at = now;
-    if (own && set.peers) out->push_back(action::TellPeer{-1, kNoteRefused + e.info.id});
+    t.let_at = now;
+    const bool tell = own && set.peers && now >= tell_at && now - t.told_at >= micros(shortest_aim);
+    if (tell) out->push_back(action::TellPeer{-1, kNoteRefused + e.info.id});
+    if (tell) tell_at = now + micros(jittered(kTellGap * set.relays));
+    if (tell || !own) t.told_at = now;
   }
   // Whether this attempt is let through; else the target is held for a while.
   bool let(Target& t) {
