Nothing is kept for ever: gone endpoints, their destinations and order keys are swept

A gone endpoint goes once its calls are over and its outage has aged out, so one that flaps keeps its state. Tests run through 5000 endpoints, destinations and keys, and through calls out to a gone endpoint. kept() tells how much is held.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -8,6 +8,7 @@
 // events carry positions in the lists of the settings.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -209,6 +210,9 @@
   // in order. `actions` is appended to.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
 
+  // How many endpoints, destinations, messages, order keys and calls are kept: a gauge of memory.
+  std::size_t kept() const;
+
  private:
   struct State;
   std::unique_ptr<State> state_;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -162,9 +163,9 @@
   double worth = 0;
   Time aim = 0, deadline = 0, ready = 0;
   std::string key;
-  int sends = 0, gave_up = -1;          // attempts made; the last one that was cancelled
-  std::map<int, std::uint64_t> out;     // attempt to call
-  EndpointState* may_ran_at = nullptr;  // endpoint of the first attempt that may have run
+  int sends = 0, gave_up = -1;       // attempts made; the last one that was cancelled
+  std::map<int, std::uint64_t> out;  // attempt to call
+  std::optional<int> may_ran_zone;   // where the first attempt that may have run was made
   Time may_ran_sent = 0;
   bool over = false;
 };
@@ -185,6 +186,8 @@
   std::map<DestinationId, DestinationState> destinations;
   std::map<MessageId, Message> messages;
   std::map<std::string, KeyLine> keys;
+  std::deque<std::pair<Time, std::string>> resting;  // keys after an attempt in doubt, soonest rested first
+  bool list_changed = false;
   std::map<std::uint64_t, Call> calls;
   std::uint64_t next_call = 1;
   std::vector<double> share_tokens;
@@ -429,6 +432,7 @@
 
   // ---- The list. ----
   void take(const Endpoint& info) {
+    list_changed = true;
     auto [it, fresh] = endpoints.try_emplace(info.id);
     EndpointState& e = it->second;
     e.info = info;
@@ -452,6 +456,7 @@
   }
   void on(const event::ListWhole& ev) {
     for (auto& [id, e] : endpoints) e.info.listing = Listing::gone;
+    list_changed = true;
     for (const auto& info : ev.endpoints) take(info);
     if (!ev.cached)
       subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
@@ -512,7 +517,7 @@
   bool may_refuse(const Message& m) const {
     if (m.cls->effect == Effect::safe) return true;
     if (m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::all) return true;
-    return m.out.empty() && m.may_ran_at == nullptr;
+    return m.out.empty() && !m.may_ran_zone;
   }
   void finish(Message& m, bool again) {
     if (m.over) return;
@@ -529,9 +534,33 @@
     if (!m.key.empty()) {
       auto& line = keys[m.key].line;
       line.erase(std::find(line.begin(), line.end(), m.id));
+      drop_key(m.key);
     }
     messages.erase(it);
   }
+  void drop_key(const std::string& key) {
+    const auto it = keys.find(key);
+    if (it != keys.end() && it->second.line.empty() && now >= it->second.rest_until) keys.erase(it);
+  }
+  // Nothing is kept for ever: keys go when they are empty and rested; endpoints that left the list, when
+  // their calls are over and what is known of an outage there has aged out; destinations with their last
+  // endpoint.
+  void sweep() {
+    for (; !resting.empty() && resting.front().first <= now; resting.pop_front())
+      drop_key(resting.front().second);
+    if (!list_changed) return;
+    list_changed = false;
+    const auto leaves = [this](const EndpointState& e) {
+      const bool known = e.health != Health::open && now < e.since + health_span(e);
+      return e.info.listing == Listing::gone && e.calls.empty() && !known && e.own.wait_until <= now;
+    };
+    for (auto it = destinations.begin(); it != destinations.end();) {
+      std::erase_if(it->second.endpoints, [&](const EndpointState* e) { return leaves(*e); });
+      const bool done = it->second.endpoints.empty() && it->second.target.wait_until <= now;
+      it = done ? destinations.erase(it) : std::next(it);
+    }
+    std::erase_if(endpoints, [&](const auto& entry) { return leaves(entry.second); });
+  }
   void on(const event::Withdrawn& ev) {
     auto it = messages.find(ev.id);
     if (it == messages.end()) return;
@@ -571,17 +600,20 @@
 
     const bool never_ran = ev.outcome == Outcome::full || ev.outcome == Outcome::connect_failed ||
                            ev.outcome == Outcome::not_sent;
-    if (!never_ran && (m.may_ran_at == nullptr || sent < m.may_ran_sent))
-      m.may_ran_at = &e, m.may_ran_sent = sent;
+    if (!never_ran && (!m.may_ran_zone || sent < m.may_ran_sent))
+      m.may_ran_zone = e.info.zone, m.may_ran_sent = sent;
     const bool doubt =
         ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset || ev.outcome == Outcome::cancelled;
-    if (doubt && !m.key.empty()) keys[m.key].rest_until = now + set.settle_after_doubt;
+    if (doubt && !m.key.empty()) {
+      keys[m.key].rest_until = now + set.settle_after_doubt;
+      resting.emplace_back(now + set.settle_after_doubt, m.key);
+    }
     if (ev.closed || ev.outcome == Outcome::served) m.over = true;
     if (!m.over && m.out.empty()) {
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
       m.ready = now + micros(jittered(d));
-      const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_at != nullptr;
+      const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
       if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m, false);
     }
     forget(it);
@@ -589,7 +621,7 @@
   // After this a send can't be made any more: the deadline, or the end of the key's window.
   Time latest_send(const Message& m) const {
     Time t = m.deadline - 2 * set.tick;
-    if (m.cls->effect == Effect::keyed && m.may_ran_at != nullptr)
+    if (m.cls->effect == Effect::keyed && m.may_ran_zone)
       t = std::min(t, m.may_ran_sent + m.cls->key_window - set.tick);
     return t;
   }
@@ -597,9 +629,8 @@
   // ---- The gate. Every send passes here; it tells when to look again. ----
   bool passes(const Message& m, EndpointState& e, Time& when) {
     if (e.info.listing != Listing::active) return false;
-    if (m.may_ran_at != nullptr && m.cls->effect == Effect::keyed) {
-      if (m.cls->group == KeyGroup::zone && e.info.zone != m.may_ran_at->info.zone) return false;
-    }
+    const bool keyed_by_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone;
+    if (keyed_by_zone && m.may_ran_zone && e.info.zone != *m.may_ran_zone) return false;
     Target& t = target_of(e);
     const Time held = std::max(t.wait_until, t.hold_until);
     if (held > now) return when = std::min(when, held), false;
@@ -654,7 +685,9 @@
     }
     EndpointState* best = nullptr;
     double best_price = 0;
-    for (auto* e : destinations[m.destination].endpoints) {
+    const auto destination = destinations.find(m.destination);
+    if (destination == destinations.end()) return false;
+    for (auto* e : destination->second.endpoints) {
       if (!passes(m, *e, when)) continue;
       const double p = room_in_call(*e) ? -1 : price(*e) * (1 + 0.1 * uniform());
       if (best == nullptr || p < best_price) best = e, best_price = p;
@@ -757,6 +790,7 @@
     if (set.subscribe) ask();
     dispatch();
     drop_unused();
+    sweep();
     if (wake < timer_at && wake < kNever) {
       timer_at = wake;
       actions.push_back(action::SetTimer{std::min<Time>(wake - now, 3'600'000'000), 0});
@@ -800,6 +834,12 @@
 Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
 
+std::size_t Dispatcher::kept() const {
+  const State& s = *state_;
+  return s.endpoints.size() + s.destinations.size() + s.messages.size() + s.keys.size() + s.calls.size() +
+         s.resting.size();
+}
+
 void Dispatcher::handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
   state_->handle(now, events, actions);
 }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -411,6 +411,48 @@
   EXPECT_EQ(r.sends_of(id), 1);
 }
 
+TEST(Memory, NothingIsKeptForEver) {
+  auto s = plain();
+  s.classes[kSafe].ordered = true, s.settle_after_doubt = 700 * kMs;
+  Relay r(s);
+  std::size_t most = 0;
+  for (int i = 1; i <= 5000; i++) {  // each with an endpoint, a destination and a key of its own
+    Endpoint e{.id = std::to_string(i), .destination = i};
+    r.change(e);
+    const auto id = r.arrive(kSafe, i, "key" + std::to_string(i));
+    r.run_to(r.now + 50 * kMs);
+    if (r.sends_of(id) == 1)
+      r.end(id, i % 3 == 0 ? Outcome::timeout : i % 7 == 0 ? Outcome::connect_failed : Outcome::served);
+    r.arrive(kSafe, -i, "other" + std::to_string(i), 100 * kMs);  // nothing is listed there
+    e.listing = Listing::gone;
+    r.change(e);
+    r.run_to(r.now + 50 * kMs);
+    most = std::max(most, r.kept());
+  }
+  EXPECT_LT(most, 2000u);
+  r.run_to(r.now + 60 * kS);
+  r.change({.id = "last", .destination = 1});
+  EXPECT_LE(r.kept(), 2u);
+}
+TEST(Memory, CallsOutToAGoneEndpointEndWell) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  const auto served = r.arrive(kSafe), lost = r.arrive(kUnsafe), refused = r.arrive(kSafe);
+  r.list({{.id = "b", .destination = 2}});  // "a" is gone with three calls out
+  r.run_to(r.now + 1 * kS);
+  r.list({{.id = "b", .destination = 2}});
+  r.end(served, Outcome::served);
+  r.end(lost, Outcome::reset);
+  r.end(refused, Outcome::full);
+  EXPECT_EQ(r.failed.count(lost), 1u);
+  r.run_to(r.now + 20 * kS);
+  EXPECT_EQ(r.failed.count(refused) + r.refused.count(refused), 1u);
+  r.list({{.id = "b", .destination = 2}});
+  EXPECT_LE(r.kept(), 2u);
+  r.change({.id = "a", .destination = 1});  // and comes back
+  EXPECT_EQ(r.sends_of(r.arrive(kSafe)), 1);
+}
+
 TEST(Odd, EventsForWhatIsOverOrUnknownAreIgnored) {
   Relay r;
   r.round({});
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -127,6 +127,7 @@
       for (due += rate * 0.05; due >= 1; due -= 1) arrive(c, destination);
     }
   }
+  std::size_t kept() const { return dispatcher_.kept(); }
   int sends_of(MessageId id) const {
     return static_cast<int>(
         std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
