--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -50,7 +50,6 @@
 constexpr double kOverdueMore = 0.3;  // this, is a bad sign
 constexpr double kRampShare = 0.9;    // part of the push-over budget that is used
 constexpr double kLeastCalls = 3;     // calls a second of all relays that an endpoint is taken to get
-constexpr double kForgetColds = 3;    // evidence of an outage ages out over so many warm-up times
 constexpr double kEvidence = 3;       // seconds of own calls that must fail to close, kCloseRun at most
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
@@ -318,19 +317,16 @@
   // Calls a second that an endpoint out or returning may get from this relay: its part, by its own first
   // tries, of what the endpoint stands for sure. No floor: with hundreds of relays that each see a call a
   // minute, floors of one call each would push it over. What is known of an outage ages out.
-  Time health_span(const EndpointState& e) const {
-    return e.health == Health::closed ? micros(kForgetColds * std::max(seconds(set.cold), shortest_aim))
-                                      : set.cold;
-  }
+  Time health_span() const { return std::max(set.cold, micros(shortest_aim)); }
   double ramp_rate(const EndpointState& e) const {
     double warm = set.cold_from;
-    if (e.health == Health::ramp && set.cold > 0)
-      warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(set.cold);
+    if (e.health == Health::ramp)
+      warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(health_span());
     return e.usual_rate * set.fall_multiple * kRampShare * std::min(warm, 1.0);
   }
   Time budget_ready(EndpointState& e) {
     if (e.health == Health::open) return now;
-    const Time end = e.since + health_span(e);
+    const Time end = e.since + health_span();
     if (now >= end) {
       log((e.health == Health::ramp ? "warm " : "forgotten ") + e.info.id);
       e.health = Health::open, e.fail_run = 0, e.fail_share = 0;
@@ -551,7 +547,7 @@
     if (!list_changed) return;
     list_changed = false;
     const auto leaves = [this](const EndpointState& e) {
-      const bool known = e.health != Health::open && now < e.since + health_span(e);
+      const bool known = e.health != Health::open && now < e.since + health_span();
       return e.info.listing == Listing::gone && e.calls.empty() && !known && e.own.wait_until <= now;
     };
     for (auto it = destinations.begin(); it != destinations.end();) {
