--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -326,12 +326,15 @@
   }
   Time budget_ready(EndpointState& e) {
     if (e.health == Health::open) return now;
-    const Time end = e.since + health_span();
-    if (now >= end) {
-      log((e.health == Health::ramp ? "warm " : "forgotten ") + e.info.id);
-      e.health = Health::open, e.fail_run = 0, e.fail_share = 0;
-      return now;
+    if (now >= e.since + health_span()) {
+      // The ramp comes after trials too that the budget never allowed: held messages must not go all at once.
+      const bool warm = e.health == Health::ramp;
+      e.health = warm ? Health::open : Health::ramp, e.since = now;
+      if (warm) e.fail_run = 0, e.fail_share = 0;
+      log((warm ? "warm " : "forgotten ") + e.info.id);
+      if (warm) return now;
     }
+    const Time end = e.since + health_span();
     const double rate = ramp_rate(e);
     e.budget = std::min(1.0, e.budget + rate * seconds(now - e.budget_at));
     e.budget_at = now;
@@ -648,8 +651,7 @@
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
     // Trials are spaced; all of them out together may hold a part of the slots only.
-    if (e.health == Health::closed)
-      return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
+    if (on_trial(e)) return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
     const int late = overdue(e);
     const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots)
                                                    : std::max(1.0, std::ceil(set.slots * kTargetSlots));
@@ -657,9 +659,10 @@
     if (e.call_cap > 0) limit = std::min<double>(limit, e.call_cap);
     return std::max(1, static_cast<int>(limit));
   }
+  bool on_trial(const EndpointState& e) const { return e.health != Health::open && e.fail_run > 0; }
   int trials_out() const {
     int n = 0;
-    for (const auto& [id, call] : calls) n += call.endpoint->health == Health::closed;
+    for (const auto& [id, call] : calls) n += on_trial(*call.endpoint);
     return n;
   }
   // Cheaper first: shorter expected wait there, its fee, the distance.
