--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -29,14 +29,12 @@
 constexpr double kRateMemory = 4;   // memory of served-rate estimates
 constexpr double kLongMemory = 30;  // and of what a relay asks of an endpoint, calls a minute
 constexpr double kPaceCut = 0.85;   // on a further refusal
-constexpr double kLeastPace = 1;    // calls in a shortest aim, of all relays together
 constexpr double kCutGap = 0.3;     // refusals closer than this are one event
-constexpr double kAgainFirst = 0.25,
-                 kAgainGain = 0.1;   // share of calls served after a refusal: assumed; weight
-constexpr double kPaceRaise = 0.15;  // growth a second while calls are served
-constexpr double kPaceStep = 0.25;   // and calls in a shortest aim, a second, on top
-constexpr double kPaceRoom = 1.25;   // a cut starts from no more than this times the served rate
-constexpr double kFewServes = 2;     // recent serves under which a relay's own pace says little
+constexpr double kAgainFirst = 0.25, kAgainGain = 0.1;  // share served after a refusal: assumed; weight
+constexpr double kPaceRaise = 0.15;                     // growth a second while calls are served
+constexpr double kPaceStep = 0.25;                      // and calls in a shortest aim, a second, on top
+constexpr double kPaceRoom = 1.25;  // a cut starts from no more than this times the served rate
+constexpr double kFewServes = 2;    // recent serves under which a relay's own pace says little
 constexpr double kLeastThrough = 0.02, kThroughCut = 0.5;  // share let through: at least, and after a refusal
 constexpr double kTellGap = 0.03;  // seconds between notes of all relays together: they cost by the receiver
 constexpr double kBurst = 0.3;     // seconds of pace that may be saved up
@@ -253,8 +251,8 @@
   }
   // What all relays meet: a share of the attempts let through, cut and raised as the pace is, told to the
   // others where notes are allowed. Guards against a limit that hundreds of relays overrun, each with a call
-  // a minute and no rate of its own to pace by. A note is a hint: it closes nothing, and its effect grows
-  // back.
+  // a minute and no rate of its own to pace by. A note is a hint: it closes nothing; its effect grows back.
+  // May hold messages needlessly for a few seconds where a refusal was a passing clump's.
   double let_through(const Target& t) const {
     return std::min(1.0, t.let_through * std::exp(kPaceRaise * seconds(now - t.let_at)));
   }
