--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -37,6 +37,7 @@
 constexpr double kFewServes = 2;    // recent serves under which a relay's own pace says little
 constexpr double kLeastThrough = 0.02, kThroughCut = 0.5;  // share let through: at least, and after a refusal
 constexpr double kTellGap = 0.03;  // seconds between notes of all relays together: they cost by the receiver
+constexpr int kFewRelays = 8;      // up to which the signs that each relay needs by itself are not too many
 constexpr double kBurst = 0.3;     // seconds of pace that may be saved up
 // Health.
 constexpr int kCloseRun = 3;          // bad signs without a serve that close an endpoint
@@ -269,7 +270,12 @@
   }
   // Whether this attempt is let through; else the target is held for a while.
   bool let(Target& t) {
-    if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < let_through(t)) return true;
+    double share = let_through(t);
+    // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
+    // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
+    if (t.refusals >= 2 && set.relays > kFewRelays)
+      share = std::min(share, set.fall_multiple * kRampShare * set.cold_from);
+    if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
   }
@@ -379,6 +385,10 @@
     for (auto* other : destinations[e.info.destination].endpoints)
       if (shut || other->health == Health::closed) other->fail_run++, close(*other, "refuses all");
   }
+  // Where this relay calls seldom, fewer signs must do, else each relay's would come too late.
+  int signs_needed(EndpointState& e) const {
+    return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), 1, kCloseRun);
+  }
   void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
@@ -398,10 +408,8 @@
       drop_idle(e);
     }
     // In the ramp two in a row close again: one stray failure must not start the ramp anew.
-    // Where this relay calls seldom, fewer signs must do, else each relay's would come too late.
     // A single error proves little: some come from sound endpoints too.
-    const int least = ev.outcome == Outcome::error ? 2 : 1;
-    const int few = std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), least, kCloseRun);
+    const int few = std::max(signs_needed(e), ev.outcome == Outcome::error ? 2 : 1);
     const int run = e.health == Health::open ? kCloseRun : e.health == Health::ramp ? kCloseRun - 1 : 1;
     if (e.fail_run >= few || e.fail_run + overdue(e) >= run || e.fail_share > kMostFail)
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -281,6 +281,32 @@
   r.run_to(r.now + 600 * kMs);
   EXPECT_EQ(r.sends_of(id), 2);  // and rarer with each refusal
 }
+// A destination that refused a relay twice may be shut: of what many such relays are asked, no more goes out
+// than it stands when it returns cold.
+TEST(Shut, TwoRefusalsInARowHoldMostAttemptsWhereRelaysAreMany) {
+  std::map<int, std::size_t> by_relays;
+  for (const int relays : {2, 200}) {
+    std::size_t sends = 0;
+    auto s = plain();
+    s.relays = relays, s.fall_multiple = 2, s.cold_from = 0.2;
+    for (std::uint64_t seed = 1; seed <= 40; seed++) {
+      Relay r(s, seed);
+      r.list({{.id = "a", .destination = 1}});
+      for (int i = 0; i < 2; i++) {
+        r.arrive(kUnsafe);
+        for (int k = 0; k < 40 && r.out.empty(); k++) r.run_to(r.now + 100 * kMs);
+        for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::full);
+        r.run_to(r.now + 10 * kMs);
+      }
+      const auto before = r.sent.size();
+      r.run_to(r.now + 11 * kS);
+      sends += r.sent.size() > before;
+    }
+    by_relays[relays] = sends;
+  }
+  EXPECT_LT(by_relays[200], 20u);
+  EXPECT_LT(by_relays[200], by_relays[2]);
+}
 TEST(Notes, RefusalsToldByOthersHoldAttemptsBackForAWhile) {
   auto s = plain();
   s.relays = 300, s.peers = true;
