--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -47,7 +47,7 @@
 constexpr double kFailMemory = 0.15;  // weight of the newest call in that share
 constexpr double kOverdueTimes = 4;   // a call out this many usual latencies, plus
 constexpr double kOverdueMore = 0.3;  // this, is a bad sign
-constexpr double kRampShare = 0.9;    // part of the push-over budget that is used
+constexpr double kRampShare = 0.67;   // part of the push-over budget used: a third more may come from others
 constexpr double kLeastCalls = 3;     // calls a second of all relays that an endpoint is taken to get
 constexpr double kEvidence = 3;       // seconds of own calls that must fail to close, kCloseRun at most
 // Slots.
@@ -326,7 +326,9 @@
     double warm = set.cold_from;
     if (e.health == Health::ramp)
       warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(health_span());
-    return e.usual_rate * set.fall_multiple * kRampShare * std::min(warm, 1.0);
+    const double times = set.fall_multiple * kRampShare * std::min(warm, 1.0);
+    // Not served since: perhaps it returned only now, so no more than was asked of it before, backlog or not.
+    return e.usual_rate * (on_trial(e) ? std::min(times, 1.0) : times);
   }
   Time budget_ready(EndpointState& e) {
     if (e.health == Health::open) return now;
