--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -40,16 +40,17 @@
 constexpr int kFewRelays = 8;      // up to which the signs that each relay needs by itself are not too many
 constexpr double kBurst = 0.3;     // seconds of pace that may be saved up
 // Health.
-constexpr int kCloseRun = 3;          // bad signs without a serve that close an endpoint
-constexpr int kShutRun = 4;           // refusals without a serve that mean shut, not limited,
-constexpr double kShutSpan = 1.5;     // when they span this time
-constexpr double kMostFail = 0.5;     // share of failing calls that closes an endpoint
-constexpr double kFailMemory = 0.15;  // weight of the newest call in that share
-constexpr double kOverdueTimes = 4;   // a call out this many usual latencies, plus
-constexpr double kOverdueMore = 0.3;  // this, is a bad sign
-constexpr double kRampShare = 0.67;   // part of the push-over budget used: a third more may come from others
-constexpr double kLeastCalls = 3;     // calls a second of all relays that an endpoint is taken to get
-constexpr double kEvidence = 3;       // seconds of own calls that must fail to close, kCloseRun at most
+constexpr int kCloseRun = 3;             // bad signs without a serve that close an endpoint
+constexpr int kShutRun = 4;              // refusals without a serve that mean shut, not limited,
+constexpr double kShutSpan = 1.5;        // when they span this time
+constexpr double kMostFail = 0.5;        // share of failing calls that closes an endpoint
+constexpr double kFailMemory = 0.15;     // weight of the newest call in that share
+constexpr double kOverdueTimes = 4;      // a call out this many usual latencies, plus
+constexpr double kOverdueMore = 0.3;     // this, is a bad sign
+constexpr double kRampShare = 0.9;       // part of the push-over budget used; two thirds where own rates are
+constexpr double kRampShareMany = 0.67;  // guesses, of many relays: so much alone breaks the rule
+constexpr double kLeastCalls = 3;        // calls a second of all relays that an endpoint is taken to get
+constexpr double kEvidence = 3;          // seconds of own calls that must fail to close, kCloseRun at most
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
 constexpr double kTrialSlots = 0.25;   // for trial calls of all closed endpoints
@@ -208,6 +209,7 @@
   }
 
   double uniform() { return static_cast<double>(random() >> 11) * 0x1.0p-53; }
+  double ramp_share() const { return set.relays > kFewRelays ? kRampShareMany : kRampShare; }
   double jittered(double d) { return d * (1 + kJitter * (2 * uniform() - 1)); }
   double burst_of(const TenantSettings& t) const { return 2 + 2 * t.quota_per_s / set.relays; }
   void log(const std::string& text) { out->push_back(action::Log{text}); }
@@ -274,7 +276,7 @@
     // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
     if (t.refusals >= 2 && set.relays > kFewRelays)
-      share = std::min(share, set.fall_multiple * kRampShare * set.cold_from);
+      share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
     if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
@@ -326,7 +328,7 @@
     double warm = set.cold_from;
     if (e.health == Health::ramp)
       warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(health_span());
-    const double times = set.fall_multiple * kRampShare * std::min(warm, 1.0);
+    const double times = set.fall_multiple * ramp_share() * std::min(warm, 1.0);
     // Not served since: perhaps it returned only now, so no more than was asked of it before, backlog or not.
     return e.usual_rate * (on_trial(e) ? std::min(times, 1.0) : times);
   }
