--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -49,7 +49,7 @@
 constexpr double kOverdueMore = 0.3;     // this, is a bad sign
 constexpr double kRampShare = 0.9;       // part of the push-over budget used; two thirds where own rates are
 constexpr double kRampShareMany = 0.67;  // guesses, of many relays: so much alone breaks the rule
-constexpr double kLeastCalls = 3;        // calls a second of all relays that a target is taken to get
+constexpr double kLeastCalls = 3;        // calls a second of all relays that an endpoint is taken to get
 constexpr double kEvidence = 3;          // seconds of own calls that must fail to close, kCloseRun at most
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
@@ -306,15 +306,11 @@
     for (auto id : e.calls) n += now - calls.at(id).sent > late && calls.at(id).sent >= e.served_at;
     return n;
   }
-  // Of all relays together, at all endpoints that share a limit.
-  double least_calls(const EndpointState& e) const {
-    const auto shared = e.apart ? 1 : destinations.at(e.info.destination).endpoints.size();
-    return kLeastCalls / set.relays / static_cast<double>(shared);
-  }
   void close(EndpointState& e, const char* why) {
     if (e.health == Health::open) {
       // Each relay starts anywhere between two of its trials, else those of many would come together.
-      e.usual_rate = std::max(e.asked.at(now), least_calls(e)), e.budget = uniform(), e.budget_at = now;
+      e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(),
+      e.budget_at = now;
     }
     if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
