--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -373,14 +373,13 @@
     e.bundle = std::min(e.bundle + 1, e.bundle_max);
     if (e.call_cap > 0 && now - e.capped_at > micros(2)) e.call_cap++, e.capped_at = now;
   }
-  void call_refused(EndpointState& e, const event::AttemptEnded& ev) {
+  void call_refused(EndpointState& e) {
     Target& t = target_of(e);
     delay_up(t);
     learn_refusal(t, 0);
     if (t.refusals++ == 0) t.refused_from = now;
     if (e.health != Health::closed) pace_cut(t), cut_through(t, e, true);
     e.doubt_run = false;
-    if (ev.told_wait > 0) t.wait_until = std::max(t.wait_until, now + ev.told_wait);
     // Shut, not limited: nothing was served between the refusals.
     const bool shut = t.refusals >= kShutRun && now - t.refused_from >= micros(kShutSpan);
     if (!shut && e.health == Health::open) return;
@@ -593,6 +592,9 @@
     m.out.erase(attempt);
     const bool last = --call.left == 0;
     if (last) e.calls.erase(call_it->first);
+    // Each word of a wait counts from the round that told it: a bundle's outcomes come over several rounds.
+    Target& told = target_of(e);
+    if (ev.told_wait > 0) told.wait_until = std::max(told.wait_until, now + ev.told_wait);
     // A call that we gave up in silence is a failure; one that was overtaken says nothing of the endpoint.
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
@@ -600,7 +602,7 @@
       if (ev.outcome == Outcome::served)
         call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full)
-        call_refused(e, ev);
+        call_refused(e);
       else
         call_failed(e, ev, call.messages);
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -200,6 +200,30 @@
   EXPECT_GT(r.sends_between(told, told + 3 * kS, held == "a" ? "b" : "a"), 0);
 }
 
+TEST(Waits, CountFromTheLastOfABundlesOutcomes) {
+  auto s = plain();
+  s.kinds[0].bundle_max = 4;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.live(5 * kS, 10, kSafe, 1, [](const Sent&) { return std::optional(Outcome::served); });
+  for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::served);
+  std::vector<Event> events;
+  for (MessageId id = 100; id < 102; id++) {
+    event::Arrival a;
+    a.id = id, a.destination = 1, a.time_left = 6 * kS;
+    events.push_back(a);
+  }
+  r.round(events);
+  ASSERT_EQ(r.out.size(), 2u);  // one call
+  r.end(100, Outcome::full, 1 * kS);
+  r.run_to(r.now + 30 * kMs);
+  r.end(101, Outcome::full, 1 * kS);
+  const Time told = r.now;
+  r.run_to(told + 5 * kS);
+  EXPECT_EQ(r.sends_between(told, told + 1 * kS), 0);
+  EXPECT_GT(r.sends_between(told, told + 5 * kS), 0);
+}
+
 Settings ordered() {
   auto s = plain();
   s.classes[kSafe].ordered = s.classes[kUnsafe].ordered = true;
