--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -277,7 +277,7 @@
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
     if (t.refusals >= 2 && set.relays > kFewRelays)
       share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
-    if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
+    if (1) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
   }
@@ -291,8 +291,9 @@
     if (t.pace != kUnbounded) t.pace += dt * (kPaceRaise * t.pace + kPaceStep / shortest_aim);
     t.raise_at = now;
   }
+  bool few_serves(Target& t) { return t.served.at(now) * kRateMemory < kFewServes; }
   Time pace_ready(Target& t) {
-    if (t.pace == kUnbounded) return now;
+    if (t.pace == kUnbounded || few_serves(t)) return now;
     t.tokens = std::min(t.tokens + t.pace * seconds(now - t.tokens_at), std::max(1.0, t.pace * kBurst));
     t.tokens_at = now;
     return t.tokens >= 1 ? now : now + micros((1 - t.tokens) / t.pace) + 1;
@@ -623,6 +624,9 @@
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
       m.ready = now + micros(jittered(d));
+      Target& t = target_of(e);
+      if (ev.outcome == Outcome::full && few_serves(t))
+        m.ready += static_cast<Time>(uniform() * (1 - after_refusal[t.kind]) * static_cast<double>(latest_send(m) - m.ready));
       const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
       if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m, false);
     }
@@ -706,7 +710,7 @@
       if (when < kNever) wake_by(when);
       return false;
     }
-    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best))) return false;
+    if (!room_in_call(*best) && best->health == Health::open && m.sends > 0 && !let(target_of(*best))) return false;
     send(m, *best);
     return true;
   }
