--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -277,7 +277,7 @@
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
     if (t.refusals >= 2 && set.relays > kFewRelays)
       share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
-    if (1) return true;
+    if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
   }
@@ -292,6 +292,11 @@
     t.raise_at = now;
   }
   bool few_serves(Target& t) { return t.served.at(now) * kRateMemory < kFewServes; }
+  void hold(Target& t) {
+    if (t.refusals == 0 || !few_serves(t)) return;
+    const double d = std::max(delay_now(t), kInitial * unit) / std::max(0.02, after_refusal[t.kind]);
+    t.hold_until = std::max(t.hold_until, now + std::min(micros(d * (0.5 + uniform())), health_span()));
+  }
   Time pace_ready(Target& t) {
     if (t.pace == kUnbounded || few_serves(t)) return now;
     t.tokens = std::min(t.tokens + t.pace * seconds(now - t.tokens_at), std::max(1.0, t.pace * kBurst));
@@ -357,7 +362,7 @@
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
     learn_refusal(t, 1);
-    t.refusals = 0;
+    t.refusals = 0, t.hold_until = now;
     e.latency += kLatencyGain * (seconds(latency) - e.latency);
     if (e.usual == 0) e.usual = seconds(latency);
     slowness += kSlownessGain * (std::min(seconds(latency) / std::max(e.usual, 1e-3), kMostSlow) - slowness);
@@ -380,6 +385,7 @@
     learn_refusal(t, 0);
     if (t.refusals++ == 0) t.refused_from = now;
     if (e.health != Health::closed) pace_cut(t), cut_through(t, e, true);
+    hold(t);
     e.doubt_run = false;
     // Shut, not limited: nothing was served between the refusals.
     const bool shut = t.refusals >= kShutRun && now - t.refused_from >= micros(kShutSpan);
@@ -624,9 +630,6 @@
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
       m.ready = now + micros(jittered(d));
-      Target& t = target_of(e);
-      if (ev.outcome == Outcome::full && few_serves(t))
-        m.ready += static_cast<Time>(uniform() * (1 - after_refusal[t.kind]) * static_cast<double>(latest_send(m) - m.ready));
       const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
       if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m, false);
     }
@@ -710,7 +713,7 @@
       if (when < kNever) wake_by(when);
       return false;
     }
-    if (!room_in_call(*best) && best->health == Health::open && m.sends > 0 && !let(target_of(*best))) return false;
+    if (!room_in_call(*best) && best->health == Health::open && set.peers && !let(target_of(*best))) return false;
     send(m, *best);
     return true;
   }
@@ -724,6 +727,7 @@
       e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
       e.used_at = now;
       if (t.pace != kUnbounded) t.tokens -= 1;
+      hold(t);
       if (e.health != Health::open) e.budget -= 1;
       if (e.health == Health::closed) e.next_trial = now + trial_gap(e);
       if (overdue(e) > 0) drop_idle(e);
