--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -323,6 +323,16 @@
     e.since = now;
     e.next_trial = now + trial_gap(e);
   }
+  // A told wait longer than an aim and than what topples: shut until then, and cold. All relays that were
+  // told come back at that moment, so each takes the ramp from there. Guards against the rush at the opening.
+  void told_shut(EndpointState& from) {
+    const auto enter = [this, until = target_of(from).wait_until](EndpointState& e) {
+      if (e.health == Health::open) close(e, "shut, told until when");
+      e.health = Health::ramp, e.since = e.budget_at = until;
+    };
+    if (from.apart) return enter(from);
+    for (auto* e : destinations[from.info.destination].endpoints) enter(*e);
+  }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
   }
@@ -602,6 +612,7 @@
     // Each word of a wait counts from the round that told it: a bundle's outcomes come over several rounds.
     Target& told = target_of(e);
     if (ev.told_wait > 0) told.wait_until = std::max(told.wait_until, now + ev.told_wait);
+    if (ev.told_wait > std::max(set.overload_for, micros(shortest_aim))) told_shut(e);
     // A call that we gave up in silence is a failure; one that was overtaken says nothing of the endpoint.
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
