--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -294,8 +294,9 @@
   bool few_serves(Target& t) { return t.served.at(now) * kRateMemory < kFewServes; }
   void hold(Target& t) {
     if (t.refusals == 0 || !few_serves(t)) return;
-    const double d = std::max(delay_now(t), kInitial * unit) / std::pow(std::max(0.02, after_refusal[t.kind]), 2);
-    t.hold_until = std::max(t.hold_until, now + std::min(micros(d * (0.5 + uniform())), health_span()));
+    const double share = std::pow(std::max(0.02, after_refusal[t.kind]), 1 + t.refusals);
+    const double d = std::min(std::max(delay_now(t), kInitial * unit) / share, seconds(health_span()));
+    t.hold_until = std::max(t.hold_until, now + micros(d * (0.5 + uniform())));
   }
   Time pace_ready(Target& t) {
     if (t.pace == kUnbounded || few_serves(t)) return now;
