--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -159,6 +159,7 @@
   s.slots = get(family, "Workers", family_path, as_int);
   s.decay = word<Decay>(get(family, "Decay", family_path, as_text, "line"),
                         {{"line", Decay::line}, {"halves", Decay::halves}}, family_path + ".Decay");
+  s.refused_price = get(family, "TurnedAwayPrice", family_path, as_number, 0.0);
   if (const Value* toll = per_kind(family, "Toll", family_path))
     for (const auto& fee : toll->GetArray()) s.zone_fees.push_back(as_number(fee, family_path + ".Toll"));
 
--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -54,6 +54,7 @@
   std::vector<double> zone_fees;        // price of a route apart, by zone; may be empty
   Decay decay = Decay::line;
   WeightKind weights = WeightKind::none;
+  double refused_price = 0;     // points of the result for a call refused above a limit, by message
   double over_share_worth = 1;  // worth beyond a tenant's share, as a fraction
   int relays = 1;               // how many relays share the destinations
   int rank = 0;                 // which of them this is
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -63,6 +63,7 @@
 constexpr double kLatencyGain = 0.2, kUsualGain = 0.02, kSlownessGain = 0.1;  // weights of the newest answer
 constexpr double kMostSlow = 20;        // one answer counts as no more usual latencies than this
 constexpr double kFirstLatency = 0.25;  // assumed before the first answer
+constexpr double kClassShy = 4;         // times the price where the last call of that class failed
 // Connections.
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
 constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
@@ -141,6 +142,7 @@
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
   std::uint64_t open_call = 0;  // call begun in this round, for bundling
+  std::map<const ClassSettings*, Time> failed_class;  // last failed call of a class, none served since
 };
 
 struct DestinationState {
@@ -544,11 +546,27 @@
     if (m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::all) return true;
     return m.out.empty() && !m.may_ran_zone;
   }
-  void finish(Message& m, bool again) {
+  // When the destination may be tried again, as far as waits and holds tell.
+  Time free_at(const Message& m, bool told_only) {
+    Time free = kNever;
+    const auto it = destinations.find(m.destination);
+    if (it == destinations.end()) return now;
+    for (auto* e : it->second.endpoints) {
+      const Target& t = target_of(*e);
+      if (e->info.listing == Listing::active)
+        free = std::min(free, told_only ? t.wait_until : std::max(t.wait_until, t.hold_until));
+    }
+    return free == kNever ? now : std::max(now, free);
+  }
+  // The final answer, at once. Handed back where that is allowed and what it may still be worth then is more
+  // than a refused call costs; the client is told to come back when the destination may be tried again.
+  void finish(Message& m) {
     if (m.over) return;
     m.over = true;
-    if (again && may_refuse(m))
-      out->push_back(action::Refuse{m.id, micros(unit * kInitial)});
+    const Time first = micros(kInitial * unit);
+    const Time back = std::clamp(free_at(m, false) - now, first, std::max(first, set.retry_after_max));
+    if (may_refuse(m) && value(m, now + back) > set.refused_price * m.cls->worth)
+      out->push_back(action::Refuse{m.id, back});
     else
       out->push_back(action::Fail{m.id});
   }
@@ -614,6 +632,10 @@
     Target& told = target_of(e);
     if (ev.told_wait > 0) told.wait_until = std::max(told.wait_until, now + ev.told_wait);
     if (ev.told_wait > std::max(set.overload_for, micros(shortest_aim))) told_shut(e);
+    if (ev.outcome == Outcome::served) e.failed_class.erase(m.cls);
+    const bool bad = ev.outcome == Outcome::error || ev.outcome == Outcome::timeout ||
+                     ev.outcome == Outcome::cancelled || ev.outcome == Outcome::reset;
+    if (bad) e.failed_class[m.cls] = now;
     // A call that we gave up in silence is a failure; one that was overtaken says nothing of the endpoint.
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
@@ -643,7 +665,7 @@
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
       m.ready = now + micros(jittered(d));
       const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
-      if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m, false);
+      if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m);
     }
     forget(it);
   }
@@ -696,10 +718,13 @@
     return n;
   }
   // Cheaper first: shorter expected wait there, its fee, the distance.
-  double price(const EndpointState& e) const {
+  double price(const Message& m, const EndpointState& e) const {
     const auto zone = static_cast<std::size_t>(e.info.zone);
     const double fee = e.apart && zone < set.zone_fees.size() ? set.zone_fees[zone] : 0;
-    const double load = static_cast<double>(e.calls.size()) + 1 + e.fail_run;
+    double load = static_cast<double>(e.calls.size()) + 1 + e.fail_run;
+    // Guards against an endpoint that fails one class and serves the rest: siblings take that class.
+    const auto failed = e.failed_class.find(m.cls);
+    if (failed != e.failed_class.end() && now < failed->second + health_span()) load *= kClassShy;
     return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) +
            (e.info.zone == set.zone ? 0 : 0.02);
   }
@@ -718,7 +743,7 @@
     if (destination == destinations.end()) return false;
     for (auto* e : destination->second.endpoints) {
       if (!passes(m, *e, when)) continue;
-      const double p = room_in_call(*e) ? -1 : price(*e) * (1 + 0.1 * uniform());
+      const double p = room_in_call(*e) ? -1 : price(m, *e) * (1 + 0.1 * uniform());
       if (best == nullptr || p < best_price) best = e, best_price = p;
     }
     if (best == nullptr) {
@@ -785,7 +810,7 @@
       held++;
       const bool in_flight = !m.out.empty();
       if (now >= (in_flight ? m.deadline : latest_send(m))) {
-        finish(m, false);
+        finish(m);
         ended.push_back(id);
         continue;
       }
@@ -802,13 +827,19 @@
     std::stable_sort(waiting.begin(), waiting.end(),
                      [](const auto& a, const auto& b) { return a.first > b.first; });
     std::vector<Message*> left;
-    for (auto& [u, m] : waiting)
-      if (!try_send(*m)) left.push_back(m);
+    for (auto& [u, m] : waiting) {
+      if (try_send(*m)) continue;
+      // Told to wait past its last send: given up on, so answered in this round.
+      if (free_at(*m, true) >= latest_send(*m))
+        finish(*m), ended.push_back(m->id), held--;
+      else
+        left.push_back(m);
+    }
     // Buffer nearly full: hand back what is worth least, rather than have the next ones turned away.
     auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
     for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
       if (!may_refuse(*left.back())) continue;
-      finish(*left.back(), true);
+      finish(*left.back());
       ended.push_back(left.back()->id);
     }
     for (auto id : ended) forget(messages.find(id));
