--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -297,7 +297,7 @@
   bool few_serves(Target& t) { return t.served.recent(now) < kFewServes; }
   void hold(Target& t) {
     if (t.refusals == 0 || !few_serves(t)) return;
-    const double share = std::pow(std::max(0.02, after_refusal[t.kind]), 1 + t.refusals);
+    const double share = std::pow(std::max(0.02, after_refusal[t.kind]), 2 + t.refusals);
     const double d = std::min(std::max(delay_now(t), kInitial * unit) / share, seconds(health_span()));
     t.hold_until = std::max(t.hold_until, now + micros(d * (0.5 + uniform())));
   }
