--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -831,8 +831,16 @@
     std::vector<Message*> left;
     for (auto& [u, m] : waiting)
       if (!try_send(*m)) left.push_back(m);
-    // Buffer nearly full: hand back what is worth least, rather than have the next ones turned away.
-    auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
+    // Buffer nearly full: hand back what will be worth least when it can go, rather than have the next ones
+    // turned away.
+    const auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
+    const auto then = [this](Message* m) { return value(*m, free_at(*m, false) + micros(kFirstLatency)); };
+    if (held > std::max<std::size_t>(most, 1)) {
+      std::vector<std::pair<double, Message*>> rest;
+      for (auto* m : left) rest.emplace_back(then(m), m);
+      std::stable_sort(rest.begin(), rest.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+      for (std::size_t i = 0; i < rest.size(); i++) left[i] = rest[i].second;
+    }
     for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
       if (!may_refuse(*left.back())) continue;
       finish(*left.back());
