--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -30,10 +30,11 @@
 constexpr double kLongMemory = 30;  // and of what a relay asks of an endpoint, calls a minute
 constexpr double kPaceCut = 0.85;   // on a further refusal
 constexpr double kCutGap = 0.3;     // refusals closer than this are one event
-constexpr double kAgainFirst = 0.25, kAgainGain = 0.1;  // share served after a refusal: assumed; weight
+constexpr double kAgainFirst = 0.25, kAgainGain = 0.1, kLeastAgain = 0.02;  // share served after a refusal
 constexpr double kPaceRaise = 0.15;                     // growth a second while calls are served
 constexpr double kPaceStep = 0.25;                      // and calls in a shortest aim, a second, on top
 constexpr double kPaceRoom = 1.25;  // a cut starts from no more than this times the served rate
+constexpr double kHoldShare = 0.5;  // of the shortest time to deliver in: a hold after one refusal, at most
 constexpr double kFewServes = 2;    // recent serves under which a relay's own pace says little
 constexpr double kLeastThrough = 0.02, kThroughCut = 0.5;  // share let through: at least, and after a refusal
 constexpr double kTellGap = 0.03;  // seconds between notes of all relays together: they cost by the receiver
@@ -194,7 +195,7 @@
   std::uint64_t next_call = 1;
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
-  double unit = 0.1, shortest_aim = 1;
+  double unit = 0.1, shortest_aim = 1, shortest_life = 1;
   std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
   double slowness = 1;                // recent latencies of all serves, in usual ones
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
@@ -203,8 +204,11 @@
   std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
-    shortest_aim = seconds(set.classes[0].aim);
-    for (const auto& c : set.classes) shortest_aim = std::min(shortest_aim, seconds(c.aim));
+    shortest_aim = seconds(set.classes[0].aim), shortest_life = seconds(set.classes[0].deadline);
+    for (const auto& c : set.classes) {
+      shortest_aim = std::min(shortest_aim, seconds(c.aim));
+      shortest_life = std::min(shortest_life, seconds(c.deadline));
+    }
     unit = kUnitOfAim * shortest_aim;
     for (const auto& t : set.tenants) share_tokens.push_back(burst_of(t));
     after_refusal.assign(set.kinds.size() + 1, kAgainFirst);
@@ -246,7 +250,7 @@
   }
   void learn_refusal(const Target& t, double served) {
     double& share = after_refusal[t.kind];
-    if (t.refusals > 0) share += kAgainGain * (served - share);
+    if (t.refusals > 0) share += kAgainGain * (std::max(served, kLeastAgain) - share);
   }
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
@@ -297,9 +301,10 @@
   bool few_serves(Target& t) { return t.served.recent(now) < kFewServes; }
   void hold(Target& t) {
     if (t.refusals == 0 || !few_serves(t)) return;
-    const double share = std::pow(std::max(0.02, after_refusal[t.kind]), 2 + t.refusals);
-    const double d = std::min(std::max(delay_now(t), kInitial * unit) / share, seconds(health_span()));
-    t.hold_until = std::max(t.hold_until, now + micros(d * (0.5 + uniform())));
+    const double times = std::pow(after_refusal[t.kind], -2 - t.refusals);
+    const double d = std::max(delay_now(t), kInitial * unit) * std::min<double>(times, set.relays);
+    const double most = std::min(seconds(health_span()), kHoldShare * shortest_life * t.refusals);
+    t.hold_until = std::max(t.hold_until, now + micros(std::min(d, most) * (0.5 + uniform())));
   }
   Time pace_ready(Target& t) {
     if (t.pace == kUnbounded || few_serves(t)) return now;
