--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -196,6 +196,7 @@
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1, shortest_life = 1;
+  std::vector<Time> no_connection;    // by kind: when a connect last failed there
   std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
   double slowness = 1;                // recent latencies of all serves, in usual ones
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
@@ -211,7 +212,7 @@
     }
     unit = kUnitOfAim * shortest_aim;
     for (const auto& t : set.tenants) share_tokens.push_back(burst_of(t));
-    after_refusal.assign(set.kinds.size() + 1, kAgainFirst);
+    after_refusal.assign(set.kinds.size() + 1, kAgainFirst), no_connection.assign(set.kinds.size() + 1, -kNever);
     share_at.assign(set.tenants.size(), 0);
   }
 
@@ -431,6 +432,7 @@
     }
     e.fail_run++;
     e.doubt_run = ev.outcome != Outcome::connect_failed;
+    if (!e.doubt_run) no_connection[e.own.kind] = now;
     e.fail_share += kFailMemory * (1 - e.fail_share);
     if (ev.outcome == Outcome::timeout || ev.outcome == Outcome::cancelled) {
       e.latency = std::max(e.latency, std::min(e.latency * 2, seconds(ev.latency)));
@@ -458,7 +460,8 @@
   void drop_unused() {
     for (const auto& id : ended_at) {
       EndpointState& e = endpoints.at(id);
-      if (e.use_gap * set.relays > seconds(set.connection_idle) * kIdleSpared)
+      const bool short_of = now - no_connection[e.own.kind] < micros(kMostGap);
+      if (short_of && e.use_gap * set.relays > seconds(set.connection_idle) * kIdleSpared)
         out->push_back(action::CloseIdle{id});
     }
     ended_at.clear();
