--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -31,11 +31,11 @@
 constexpr double kPaceCut = 0.85;   // on a further refusal
 constexpr double kCutGap = 0.3;     // refusals closer than this are one event
 constexpr double kAgainFirst = 0.25, kAgainGain = 0.1, kLeastAgain = 0.02;  // share served after a refusal
-constexpr double kPaceRaise = 0.15;                     // growth a second while calls are served
-constexpr double kPaceStep = 0.25;                      // and calls in a shortest aim, a second, on top
-constexpr double kPaceRoom = 1.25;  // a cut starts from no more than this times the served rate
-constexpr double kHoldShare = 0.5;  // of the shortest time to deliver in: a hold after one refusal, at most
-constexpr double kFewServes = 2;    // recent serves under which a relay's own pace says little
+constexpr double kPaceRaise = 0.15;  // growth a second while calls are served
+constexpr double kPaceStep = 0.25;   // and calls in a shortest aim, a second, on top
+constexpr double kPaceRoom = 1.25;   // a cut starts from no more than this times the served rate
+constexpr double kHoldShare = 0.5;   // of the shortest time to deliver in: a hold after one refusal, at most
+constexpr double kFewServes = 2;     // recent serves under which a relay's own pace says little
 constexpr double kLeastThrough = 0.02, kThroughCut = 0.5;  // share let through: at least, and after a refusal
 constexpr double kTellGap = 0.03;  // seconds between notes of all relays together: they cost by the receiver
 constexpr int kFewRelays = 8;      // up to which the signs that each relay needs by itself are not too many
@@ -67,7 +67,8 @@
 constexpr double kClassShy = 4;         // times the price where the last call of that class failed
 // Connections.
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
-constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
+constexpr double kIdleDoubt = 0.1;  // share of the idle time after which an unused connection may be dead
+constexpr double kIdleSpared = 8;   // idle connections of all relays that an endpoint is trusted to spare
 // List and buffer.
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
@@ -143,7 +144,7 @@
   Time budget_at = 0, next_trial = 0;
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
-  std::uint64_t open_call = 0;  // call begun in this round, for bundling
+  std::uint64_t open_call = 0;                        // call begun in this round, for bundling
   std::map<const ClassSettings*, Time> failed_class;  // last failed call of a class, none served since
 };
 
@@ -157,6 +158,7 @@
   Time sent = 0;
   int messages = 0, left = 0;  // taken along; without an outcome yet
   bool judged = false;         // its fate was counted
+  double idle_before = 0;      // seconds without use of the endpoint before it; 0: first use
 };
 
 struct Message {
@@ -212,7 +214,8 @@
     }
     unit = kUnitOfAim * shortest_aim;
     for (const auto& t : set.tenants) share_tokens.push_back(burst_of(t));
-    after_refusal.assign(set.kinds.size() + 1, kAgainFirst), no_connection.assign(set.kinds.size() + 1, -kNever);
+    after_refusal.assign(set.kinds.size() + 1, kAgainFirst),
+        no_connection.assign(set.kinds.size() + 1, -kNever);
     share_at.assign(set.tenants.size(), 0);
   }
 
@@ -419,11 +422,11 @@
   int signs_needed(EndpointState& e) const {
     return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), 1, kCloseRun);
   }
-  void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
+  void call_failed(EndpointState& e, const event::AttemptEnded& ev, const Call& call) {
     delay_up(target_of(e));
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
     // to a doubtful endpoint, and against one that stumbles over large bundles only.
-    e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
+    e.bundle = std::max(1, std::min(e.bundle, call.messages) / 2);
     if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() && overdue(e) == 0 &&
         e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
@@ -432,7 +435,10 @@
     }
     e.fail_run++;
     e.doubt_run = ev.outcome != Outcome::connect_failed;
-    if (!e.doubt_run) no_connection[e.own.kind] = now;
+    // Silence on a connection that had been idle: it may have died unseen.
+    const bool idle = call.idle_before > kIdleDoubt * seconds(set.connection_idle) &&
+                      call.idle_before < seconds(set.connection_idle);
+    if (!e.doubt_run || (idle && ev.outcome != Outcome::error)) distrust_idle(e.own.kind);
     e.fail_share += kFailMemory * (1 - e.fail_share);
     if (ev.outcome == Outcome::timeout || ev.outcome == Outcome::cancelled) {
       e.latency = std::max(e.latency, std::min(e.latency * 2, seconds(ev.latency)));
@@ -447,6 +453,12 @@
                : ev.outcome == Outcome::error        ? "errors"
                                                      : "silent");
   }
+  void distrust_idle(std::size_t kind) {
+    if (now - no_connection[kind] >= micros(kMostGap))
+      for (const auto& [id, other] : endpoints)
+        if (other.own.kind == kind) out->push_back(action::CloseIdle{id});
+    no_connection[kind] = now;
+  }
   // Guards against unsafe messages lost in silence: a fresh connection fails provably, an old one doesn't.
   void drop_idle(EndpointState& e) {
     if (e.idle_closed) return;
@@ -654,7 +666,7 @@
       else if (ev.outcome == Outcome::full)
         call_refused(e);
       else
-        call_failed(e, ev, call.messages);
+        call_failed(e, ev, call);
     }
     if (last) calls.erase(call_it), e.used_at = now, ended_at.insert(e.info.id);
 
@@ -759,7 +771,8 @@
       if (when < kNever) wake_by(when);
       return false;
     }
-    if (!room_in_call(*best) && best->health == Health::open && set.peers && !let(target_of(*best))) return false;
+    if (!room_in_call(*best) && best->health == Health::open && set.peers && !let(target_of(*best)))
+      return false;
     send(m, *best);
     return true;
   }
@@ -767,7 +780,7 @@
     Target& t = target_of(e);
     if (!room_in_call(e)) {
       e.open_call = next_call++;
-      calls[e.open_call] = Call{&e, now, 0, 0, false};
+      calls[e.open_call] = Call{&e, now, 0, 0, false, e.used_at < 0 ? 0 : seconds(now - e.used_at)};
       e.calls.insert(e.open_call);
       if (e.health == Health::open && m.sends == 0) e.asked.add(now);
       e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
@@ -846,7 +859,8 @@
     if (held > std::max<std::size_t>(most, 1)) {
       std::vector<std::pair<double, Message*>> rest;
       for (auto* m : left) rest.emplace_back(then(m), m);
-      std::stable_sort(rest.begin(), rest.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+      std::stable_sort(rest.begin(), rest.end(),
+                       [](const auto& a, const auto& b) { return a.first > b.first; });
       for (std::size_t i = 0; i < rest.size(); i++) left[i] = rest[i].second;
     }
     for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
