--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -65,6 +65,7 @@
 constexpr double kMostSlow = 20;        // one answer counts as no more usual latencies than this
 constexpr double kFirstLatency = 0.25;  // assumed before the first answer
 constexpr double kClassShy = 4;         // times the price where the last call of that class failed
+constexpr double kCallCost = 0.1;       // what a refused call costs, in the measure of fees: set-up, delay
 // Connections.
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
 constexpr double kIdleDoubt = 0.1;  // share of the idle time after which an unused connection may be dead
@@ -739,15 +740,19 @@
     return n;
   }
   // Cheaper first: shorter expected wait there, its fee, the distance.
-  double price(const Message& m, const EndpointState& e) const {
+  double price(const Message& m, const EndpointState& e) {
     const auto zone = static_cast<std::size_t>(e.info.zone);
     const double fee = e.apart && zone < set.zone_fees.size() ? set.zone_fees[zone] : 0;
     double load = static_cast<double>(e.calls.size()) + 1 + e.fail_run;
     // Guards against an endpoint that fails one class and serves the rest: siblings take that class.
     const auto failed = e.failed_class.find(m.cls);
     if (failed != e.failed_class.end() && now < failed->second + health_span()) load *= kClassShy;
-    return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) +
-           (e.info.zone == set.zone ? 0 : 0.02);
+    const double base = load * e.latency * (e.health == Health::ramp ? 2 : 1);
+    if (!e.apart) return (base + (e.info.zone == set.zone ? 0 : 0.02)) * (1 + 0.1 * uniform());
+    // Routes apart have limits of their own: each is drawn in proportion to its listed rate, where there is
+    // one, and less often by its fee. Guards against small routes overrun by equal parts.
+    const double rate = set.weights == WeightKind::none ? 1 : std::clamp(e.info.weight, 1e-3, 1e6);
+    return base * std::exp(fee / kCallCost) / rate * -std::log(1 - uniform());
   }
   bool try_send(Message& m) {
     Time when = kNever;
@@ -764,7 +769,7 @@
     if (destination == destinations.end()) return false;
     for (auto* e : destination->second.endpoints) {
       if (!passes(m, *e, when)) continue;
-      const double p = room_in_call(*e) ? -1 : price(m, *e) * (1 + 0.1 * uniform());
+      const double p = room_in_call(*e) ? -1 : price(m, *e);
       if (best == nullptr || p < best_price) best = e, best_price = p;
     }
     if (best == nullptr) {
