--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -248,11 +248,7 @@
   }
 
   // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
-  // A relay that calls seldom has no served rate to go by: it may make one call a D, rarer with each refusal
-  // in a row, the more so where such calls were mostly refused again (refused calls use up some limits).
-  double least_pace(const Target& t) const {
-    return std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
-  }
+  double least_pace(const Target& t) const { return 1 / std::max(delay_now(t), kInitial * unit); }
   void learn_refusal(const Target& t, double served) {
     double& share = after_refusal[t.kind];
     if (t.refusals > 0) share += kAgainGain * (std::max(served, kLeastAgain) - share);
@@ -284,12 +280,7 @@
   }
   // Whether this attempt is let through; else the target is held for a while.
   bool let(Target& t) {
-    double share = let_through(t);
-    // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
-    // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
-    if (t.refusals >= 2 && set.relays > kFewRelays)
-      share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
-    if (!few_serves(t) || uniform() < share) return true;
+    if (!few_serves(t) || uniform() < let_through(t)) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
   }
