A message whose every way is past its last useful send is answered at once, by holds, budgets and pace too, unless a call is out there whose serve could open one

Cause: messages under a hold longer than their time stayed in the buffer to their end (wire record: END_FAILED at the end with time left at the refusal), which the operators don't accept.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -260,10 +260,8 @@
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
     t.cut_at = t.raise_at = t.tokens_at = now;
   }
-  // What all relays meet: a share of the attempts let through, cut and raised as the pace is, told to the
-  // others where notes are allowed. Guards against a limit that hundreds of relays overrun, each with a call
-  // a minute and no rate of its own to pace by. A note is a hint: it closes nothing; its effect grows back.
-  // May hold messages needlessly for a few seconds where a refusal was a passing clump's.
+  // What notes tell, where allowed: a share of the attempts let through, cut on refusals that this relay or
+  // others met. A note is a hint: it closes nothing and grows back. May hold a few seconds needlessly.
   double let_through(const Target& t) const {
     return std::min(1.0, t.let_through * std::exp(kPaceRaise * seconds(now - t.let_at)));
   }
@@ -297,14 +295,11 @@
   // Too few serves of late for a pace of its own to say much. With few relays a pace learns soon enough, and
   // holding instead cost 0.03 to 0.07 (oesboek-main, snjsn-legal, windhoek-collect).
   bool few_serves(Target& t) { return set.relays > kFewRelays && t.served.recent(now) < kFewServes; }
-  // In place of the pace there: a refusal holds the whole target, first tries too, and each call that looks
-  // whether it is over holds it again; a serve ends it. The hold is D over the share of calls that are served
-  // after a refusal at that kind, to a power that grows with refusals in a row, so that where refused calls
-  // are refused again all relays together ask for less than the limit. Guards against limits that count
-  // refused calls: one clump overruns them, and the retries of hundreds of relays, each unaware of the
-  // others, keep them so while first tries are at half the limit. Also spreads a return after being shut.
-  // Late where the refusal was a passing clump's. No longer than half the shortest time to deliver in for
-  // each refusal, and one call a D of all relays is always allowed.
+  // In place of the pace there: a refusal holds the whole target, and each call that looks whether it is over
+  // holds it again; a serve ends it. D over the share of calls served after a refusal at that kind, to a
+  // power that grows with refusals in a row. Guards against limits that count refused calls: a clump overruns
+  // them, and the retries of hundreds of relays keep them so. Also spreads a return from being shut. Late
+  // where the refusal was a passing clump's.
   void hold(Target& t) {
     if (t.refusals == 0 || !few_serves(t)) return;
     const double times = std::pow(after_refusal[t.kind], -2 - t.refusals);
@@ -581,6 +576,10 @@
     }
     return free == kNever ? now : std::max(now, free);
   }
+  bool idle(const Message& m) const {
+    const auto& all = destinations.at(m.destination).endpoints;
+    return std::all_of(all.begin(), all.end(), [](const EndpointState* e) { return e->calls.empty(); });
+  }
   // The final answer, at once. Handed back where that is allowed and what it may still be worth then is more
   // than a refused call costs; the client is told to come back when the destination may be tried again.
   void finish(Message& m) {
@@ -688,7 +687,9 @@
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
       m.ready = now + micros(jittered(d));
       const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
-      if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m);
+      if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m) ||
+          (free_at(m, false) >= latest_send(m) && idle(m)))
+        finish(m);
     }
     forget(it);
   }
@@ -709,14 +710,14 @@
     const Time held = std::max(t.wait_until, t.hold_until);
     if (held > now) return when = std::min(when, held), false;
     if (room_in_call(e)) return true;
-    if (calls.size() >= static_cast<std::size_t>(set.slots)) return false;
+    if (calls.size() >= static_cast<std::size_t>(set.slots)) return when = now, false;
     const Time ready = std::max(budget_ready(e), pace_ready(t));
     if (ready > now) return when = std::min(when, ready), false;
     if (e.health == Health::closed && m.cls->effect == Effect::unsafe && e.doubt_run && now < m.aim) {
       // A trial call that may be lost is no place for a message that can't be repeated.
       return when = std::min(when, m.aim), false;
     }
-    return static_cast<int>(e.calls.size()) < call_limit(e);
+    return static_cast<int>(e.calls.size()) < call_limit(e) || (when = now, false);
   }
   bool room_in_call(const EndpointState& e) const {
     if (e.open_call == 0) return false;
@@ -774,6 +775,8 @@
       if (best == nullptr || p < best_price) best = e, best_price = p;
     }
     if (best == nullptr) {
+      // No way to send it in time, and no call out whose serve could open one: given up on.
+      if (when < kNever && when >= latest_send(m) && idle(m)) return finish(m), false;
       if (when < kNever) wake_by(when);
       return false;
     }
@@ -856,18 +859,22 @@
     std::stable_sort(waiting.begin(), waiting.end(),
                      [](const auto& a, const auto& b) { return a.first > b.first; });
     std::vector<Message*> left;
-    for (auto& [u, m] : waiting)
-      if (!try_send(*m)) left.push_back(m);
+    for (auto& [u, m] : waiting) {
+      if (try_send(*m)) continue;
+      if (m->over)
+        ended.push_back(m->id), held--;
+      else
+        left.push_back(m);
+    }
     // Buffer nearly full: hand back what will be worth least when it can go, rather than have the next ones
     // turned away.
     const auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
-    const auto then = [this](Message* m) { return value(*m, free_at(*m, false) + micros(kFirstLatency)); };
     if (held > std::max<std::size_t>(most, 1)) {
       std::vector<std::pair<double, Message*>> rest;
-      for (auto* m : left) rest.emplace_back(then(m), m);
+      for (auto* m : left) rest.emplace_back(value(*m, free_at(*m, false) + micros(kFirstLatency)), m);
       std::stable_sort(rest.begin(), rest.end(),
                        [](const auto& a, const auto& b) { return a.first > b.first; });
-      for (std::size_t i = 0; i < rest.size(); i++) left[i] = rest[i].second;
+      std::transform(rest.begin(), rest.end(), left.begin(), [](const auto& r) { return r.second; });
     }
     for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
       if (!may_refuse(*left.back())) continue;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -343,6 +343,19 @@
     EXPECT_EQ(r.refused.count(other) + r.failed.count(other), 0u);
   }
 }
+TEST(GivenUp, AHoldPastTheLastSendIsAnsweredAtOnceUnlessACallIsOutThere) {
+  for (const bool out : {false, true}) {
+    auto s = plain();
+    s.relays = 300, s.retry_after_max = 2 * kS;
+    Relay r(s);
+    r.list({{.id = "a", .destination = 1}});
+    if (out) r.arrive(kUnsafe);  // its serve would end the hold
+    const auto id = r.arrive(kSafe, 1, "", 500 * kMs);
+    r.end(id, Outcome::full);
+    EXPECT_EQ(r.failed.count(id), out ? 0u : 1u);  // it can't come back in time either
+    EXPECT_EQ(r.refused.count(id), 0u);
+  }
+}
 TEST(GivenUp, AttemptsUsedUpOrUnsafeInDoubtAreAnsweredAtOnce) {
   auto s = plain();
   s.attempts_max = 1;
