--- a/app/main.cpp
+++ b/app/main.cpp
@@ -17,7 +17,7 @@
   add_standin(app, run);
   add_send(app, run);
   add_check(app, run);
-  add_drill(app, run, argv[0]);
+  add_drill(app, run);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- /dev/null
+++ b/rig/checker.cpp
@@ -0,0 +1,398 @@
+#include "rig/checker.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <set>
+
+#include "gateway/semantics.hpp"
+#include "http2/frame.hpp"
+
+namespace cedarplank::rig {
+namespace {
+
+using record::Record;
+constexpr Time kNever = std::numeric_limits<Time>::max();
+
+// One push of a message by a client: its try.
+struct Try {
+  std::string relay, message, cls, destination, topic, key;
+  Time sent_at = 0, whole_at = kNever, ttl = 0;
+  Time answered_at = kNever, reset_at = kNever, closed_at = kNever;
+  std::string status;
+  int answers = 0;
+  bool unprocessed = false;  // the relay's GOAWAY or REFUSED_STREAM proves that it was not taken
+};
+
+// One call as the endpoint saw it.
+struct Call {
+  std::string endpoint, relay, message;
+  std::uint64_t connection = 0;
+  std::uint32_t stream = 0;
+  Time at = 0;             // its HEADERS
+  Time answered_at = kNever, given_up_at = kNever, closed_at = kNever;
+  std::string status;
+  Time told_wait = 0;
+  bool proved_unrun = false;
+  Time proved_at = kNever;
+  Time over_at() const { return std::min({answered_at, given_up_at, closed_at, proved_at}); }
+};
+
+std::string base_of(const std::string& message) { return message.substr(0, message.find('.')); }
+
+// "2 relay-0" of a Via field.
+std::string relay_of(const Record& r) {
+  const auto it = r.fields.find("via");
+  if (it == r.fields.end()) return "";
+  const auto space = it->second.find(' ');
+  return space == std::string::npos ? "" : it->second.substr(space + 1);
+}
+
+std::string field(const Record& r, const char* name) {
+  const auto it = r.fields.find(name);
+  return it == r.fields.end() ? "" : it->second;
+}
+
+struct Checker {
+  const Facts& facts;
+  const std::vector<standin::Effect>& effects;
+  std::vector<Try> tries;
+  std::vector<Call> calls;
+  std::map<std::string, std::vector<std::size_t>> calls_of;  // by message (a try's name)
+  std::map<std::string, std::size_t> try_of;
+  Verdict verdict;
+
+  Checker(const Facts& f, const std::vector<standin::Effect>& e) : facts(f), effects(e) {
+    const char* names[] = {"1 one final answer", "2 no effect twice", "3 drains kept", "4 no push over", "5 order kept", "6 waits kept"};
+    for (int i = 0; i < 6; i++) verdict.rules[i].name = names[i];
+  }
+
+  void read(const std::vector<Record>& records);
+  void read_client(const Record& r, std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t>& streams);
+  void read_endpoint(const Record& r, std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>& streams);
+
+  void broken(int rule, std::string what) { verdict.rules[rule - 1].broken.push_back(std::move(what)); }
+  std::uint64_t& checked(int rule) { return verdict.rules[rule - 1].checked; }
+  // A relay that stands still can't act: what was due then is due after it.
+  Time past_stalls(const std::string& relay, Time t) const {
+    for (const auto& s : facts.stalls)
+      if (s.relay == relay && t >= s.from - facts.slack && t <= s.to) return s.to + facts.slack;
+    return t;
+  }
+  bool stalled_between(const std::string& relay, Time from, Time to) const {
+    return std::any_of(facts.stalls.begin(), facts.stalls.end(),
+                       [&](const auto& s) { return s.relay == relay && s.from <= to && s.to >= from; });
+  }
+  bool died_between(const std::string& relay, Time from, Time to) const {
+    return std::any_of(facts.lives.begin(), facts.lives.end(),
+                       [&](const auto& l) { return l.relay == relay && l.to >= from && l.to <= to; });
+  }
+  const Facts::Class* class_of(const std::string& message) const {
+    const auto it = try_of.find(message);
+    if (it == try_of.end()) return nullptr;
+    const auto c = facts.classes.find(tries[it->second].cls);
+    return c == facts.classes.end() ? nullptr : &c->second;
+  }
+  std::string place_of(const std::string& endpoint) const {
+    const auto it = facts.place_of.find(endpoint);
+    return it == facts.place_of.end() ? endpoint : it->second;
+  }
+
+  void one_answer();
+  void no_effect_twice();
+  void drains();
+  void push_over();
+  void order();
+  void waits();
+};
+
+void Checker::read_client(const Record& r, std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t>& streams) {
+  const auto key = std::pair(r.connection, r.stream);
+  if (r.what == "HEADERS" && r.sent) {
+    Try t;
+    t.relay = r.place, t.sent_at = r.at;
+    const auto target = gateway::parse_target(field(r, ":path"));
+    if (target) t.destination = target->destination, t.cls = target->message_class;
+    t.ttl = gateway::parse_ttl(field(r, "ttl")).value_or(0);
+    t.topic = field(r, "topic"), t.key = field(r, "idempotency-key");
+    streams[key] = tries.size();
+    tries.push_back(std::move(t));
+    return;
+  }
+  if (r.what == "CLOSE" || r.what == "GOAWAY") {
+    for (auto it = streams.lower_bound({r.connection, 0}); it != streams.end() && it->first.first == r.connection; ++it) {
+      Try& t = tries[it->second];
+      if (r.what == "CLOSE")
+        t.closed_at = std::min(t.closed_at, r.at);
+      else if (!r.sent && it->first.second > r.last)
+        t.unprocessed = true;
+    }
+    return;
+  }
+  const auto it = streams.find(key);
+  if (it == streams.end()) return;
+  Try& t = tries[it->second];
+  if (r.what == "DATA" && r.sent) {
+    t.whole_at = r.at, t.message = r.message;
+    try_of[t.message] = it->second;
+  } else if (r.what == "HEADERS") {
+    const auto status = field(r, ":status");
+    if (status.empty() || status[0] == '1') return;
+    t.answers++;
+    if (t.answered_at == kNever) t.answered_at = r.at, t.status = status;
+  } else if (r.what == "RST_STREAM") {
+    if (r.sent)
+      t.reset_at = std::min(t.reset_at, r.at);
+    else if (r.code == static_cast<std::uint32_t>(http2::ErrorCode::refused_stream))
+      t.unprocessed = true;
+  }
+}
+
+void Checker::read_endpoint(const Record& r, std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>& streams) {
+  const auto key = std::tuple(r.place, r.connection, r.stream);
+  if (r.what == "HEADERS" && !r.sent) {
+    Call c;
+    c.endpoint = r.place, c.connection = r.connection, c.stream = r.stream, c.at = r.at, c.relay = relay_of(r);
+    streams[key] = calls.size();
+    calls.push_back(std::move(c));
+    return;
+  }
+  if (r.what == "CLOSE" || r.what == "GOAWAY") {
+    for (auto it = streams.lower_bound({r.place, r.connection, 0});
+         it != streams.end() && std::get<0>(it->first) == r.place && std::get<1>(it->first) == r.connection; ++it) {
+      Call& c = calls[it->second];
+      if (r.what == "CLOSE") {
+        c.closed_at = std::min(c.closed_at, r.at);
+      } else if (r.sent && std::get<2>(it->first) > r.last) {
+        c.proved_unrun = true, c.proved_at = std::min(c.proved_at, r.at);
+      }
+    }
+    return;
+  }
+  const auto it = streams.find(key);
+  if (it == streams.end()) return;
+  Call& c = calls[it->second];
+  if (r.what == "DATA" && !r.sent) {
+    c.message = r.message;
+  } else if (r.what == "HEADERS" && r.sent) {
+    c.answered_at = r.at, c.status = field(r, ":status");
+    c.told_wait = gateway::parse_retry_after(field(r, "retry-after"), "", 0);
+    const auto unseen = facts.unseen_503.find(r.place);
+    if (c.status == "429" || (c.status == "503" && unseen != facts.unseen_503.end() && unseen->second))
+      c.proved_unrun = true, c.proved_at = std::min(c.proved_at, r.at);
+  } else if (r.what == "RST_STREAM") {
+    if (!r.sent)
+      c.given_up_at = std::min(c.given_up_at, r.at);
+    else if (r.code == static_cast<std::uint32_t>(http2::ErrorCode::refused_stream))
+      c.proved_unrun = true, c.proved_at = std::min(c.proved_at, r.at);
+  }
+}
+
+void Checker::read(const std::vector<Record>& records) {
+  std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t> client_streams;
+  std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t> endpoint_streams;
+  for (const auto& r : records) {
+    if (r.side == Record::Side::client)
+      read_client(r, client_streams);
+    else
+      read_endpoint(r, endpoint_streams);
+  }
+  for (std::size_t i = 0; i < calls.size(); i++) calls_of[calls[i].message].push_back(i);
+}
+
+// Rule 1: each message taken by a running relay has exactly one final answer in time; nothing is sent after.
+void Checker::one_answer() {
+  for (const auto& t : tries) {
+    if (t.whole_at == kNever || t.unprocessed) continue;  // never whole, or proved not taken
+    const auto cls = facts.classes.find(t.cls);
+    if (cls == facts.classes.end()) continue;
+    checked(1)++;
+    if (t.answers > 1) broken(1, fmt::format("{} at {}: {} final answers", t.message, t.relay, t.answers));
+    const Time deadline = t.whole_at + std::min(t.ttl, cls->second.deadline) + facts.answer_slack + facts.slack;
+    const Time due = past_stalls(t.relay, deadline);
+    const Time end = std::min({t.answered_at, t.reset_at});
+    if (end > due && !died_between(t.relay, t.sent_at, std::max(due, t.sent_at))) {
+      broken(1, t.answered_at == kNever
+                    ? fmt::format("{} at {}: no final answer", t.message, t.relay)
+                    : fmt::format("{} at {}: answered {} ms late", t.message, t.relay, (t.answered_at - due) / 1000));
+    }
+    if (end == kNever) continue;
+    const auto sent = calls_of.find(t.message);
+    if (sent == calls_of.end()) continue;
+    for (const auto i : sent->second) {
+      const Call& c = calls[i];
+      if (c.relay == t.relay && c.at > past_stalls(t.relay, end + facts.slack))
+        broken(1, fmt::format("{} sent to {} {} ms after its end", t.message, c.endpoint, (c.at - end) / 1000));
+    }
+  }
+}
+
+// Rule 2: no effect twice, and refused only where trying again is harmless.
+void Checker::no_effect_twice() {
+  std::map<std::string, int> by_message, by_key;
+  std::set<std::string> ran;
+  for (const auto& e : effects) {
+    if (e.message.empty()) continue;
+    ran.insert(e.message);
+    const auto* cls = class_of(e.message);
+    if (cls == nullptr) continue;
+    if (cls->effect == Effect::unsafe && ++by_message[base_of(e.message)] == 2)
+      broken(2, fmt::format("{} took effect twice", base_of(e.message)));
+    if (cls->effect == Effect::keyed && !e.key.empty() && ++by_key[e.key] == 2)
+      broken(2, fmt::format("key {} took effect twice", e.key));
+  }
+  for (const auto& t : tries) {
+    const auto* cls = t.message.empty() ? nullptr : class_of(t.message);
+    if (cls == nullptr || cls->effect == Effect::safe) continue;
+    checked(2)++;
+    if (cls->effect != Effect::unsafe) continue;
+    if ((t.status == "503" || t.status == "429") && ran.count(t.message))
+      broken(2, fmt::format("{} was refused by {} though it took effect", t.message, t.relay));
+    const auto sent = calls_of.find(t.message);
+    if (sent == calls_of.end()) continue;
+    for (std::size_t n = 1; n < sent->second.size(); n++) {
+      const Call &before = calls[sent->second[n - 1]], &c = calls[sent->second[n]];
+      if (!before.proved_unrun || before.proved_at > c.at)
+        broken(2, fmt::format("{} sent again to {} without proof that {} had not run it", t.message, c.endpoint, before.endpoint));
+    }
+  }
+}
+
+// Rule 3: nothing new to an endpoint later than the grace after the relay was told.
+void Checker::drains() {
+  std::map<std::string, Time> told;
+  for (const auto& t : facts.told) {
+    const auto [it, fresh] = told.emplace(t.endpoint, t.at);
+    if (!fresh) it->second = std::min(it->second, t.at);
+  }
+  for (const auto& c : calls) {
+    const auto it = told.find(c.endpoint);
+    if (it == told.end()) continue;
+    checked(3)++;
+    const Time last = past_stalls(c.relay, it->second + facts.reread) + facts.drain_grace + facts.slack;
+    if (c.at > last)
+      broken(3, fmt::format("{} sent {} to {} {} ms after the last moment", c.relay, c.message, c.endpoint, (c.at - last) / 1000));
+  }
+}
+
+// Rule 4: a destination back cold is not pushed over by relays that had seen its outage.
+void Checker::push_over() {
+  std::map<std::string, std::vector<const Call*>> by_place;
+  for (const auto& c : calls) by_place[place_of(c.endpoint)].push_back(&c);
+  for (const auto& [name, place] : facts.places) {
+    if (place.cold <= 0) continue;
+    const auto& all = by_place[name];
+    for (const auto& [from, to] : place.outages) {
+      checked(4)++;
+      // A relay knows if a call failed there, or if a try for the destination waited there without success.
+      std::set<std::string> knowing;
+      for (const auto* c : all)
+        if (c->at <= to && c->over_at() >= from && !(c->status[0] == '2' && c->answered_at < to)) knowing.insert(c->relay);
+      for (const auto& t : tries)
+        if (t.destination == name && t.sent_at < to - 2 * facts.slack && t.sent_at > from && t.status != "201") knowing.insert(t.relay);
+      std::vector<const Call*> window;
+      for (const auto* c : all) {
+        if (c->at <= to || c->at > to + place.cold) continue;
+        window.push_back(c);
+        while (window.front()->at <= c->at - place.overload_for) window.erase(window.begin());
+        const double part = static_cast<double>(c->at - to) / static_cast<double>(place.cold);
+        const double warm = place.cold_from + (1 - place.cold_from) * part;
+        const double budget = standin::push_budget(place.fall_multiple, place.capacity * warm, place.overload_for);
+        if (static_cast<double>(window.size()) <= budget) continue;
+        const auto known = std::count_if(window.begin(), window.end(), [&](const Call* w) { return knowing.count(w->relay) > 0; });
+        if (3 * static_cast<std::size_t>(known) < 2 * window.size()) continue;
+        broken(4, fmt::format("{}: {} calls in {} ms, {:.0f} allowed, {} of them by relays that knew; {} ms after its return", name,
+                              window.size(), place.overload_for / 1000, budget, known, (c->at - to) / 1000));
+        break;
+      }
+    }
+  }
+}
+
+// Rule 5: messages with the same order key go one at a time, in the order in which the relay took them.
+void Checker::order() {
+  std::map<std::pair<std::string, std::string>, std::vector<const Try*>> lines;
+  for (const auto& t : tries) {
+    const auto cls = facts.classes.find(t.cls);
+    if (cls != facts.classes.end() && cls->second.ordered && !t.topic.empty() && t.whole_at != kNever)
+      lines[{t.relay, t.topic}].push_back(&t);
+  }
+  for (auto& [name, line] : lines) {
+    std::sort(line.begin(), line.end(), [](const Try* a, const Try* b) { return a->whole_at < b->whole_at; });
+    for (std::size_t j = 1; j < line.size(); j++) {
+      const Try& later = *line[j];
+      const auto sent = calls_of.find(later.message);
+      if (sent == calls_of.end()) continue;
+      const Time first = calls[sent->second.front()].at;
+      checked(5)++;
+      // Only those near by: earlier ones were compared with their own followers.
+      for (std::size_t i = j; i-- > 0 && j - i <= 8;) {
+        const Try& earlier = *line[i];
+        if (died_between(name.first, earlier.sent_at, first)) continue;  // a new life knows nothing of it
+        const auto mine = calls_of.find(earlier.message);
+        const Time end = std::min({earlier.answered_at, earlier.reset_at});
+        if (mine != calls_of.end()) {
+          for (const auto n : mine->second) {
+            const Call& c = calls[n];
+            if (c.relay != name.first) continue;
+            const bool doubt = c.answered_at == kNever && !c.proved_unrun;
+            const Time rests = c.over_at() == kNever ? kNever : c.over_at() + (doubt ? facts.settle_after_doubt - facts.slack : 0);
+            if (c.at > first || rests > first) {
+              broken(5, fmt::format("{}: {} sent while {} of the same key {}", name.first, later.message, earlier.message,
+                                    c.at > first ? "had yet to go" : doubt ? "was in doubt" : "was out"));
+              break;
+            }
+          }
+        }
+        if (end > first + facts.slack)
+          broken(5, fmt::format("{}: {} sent before {} of the same key was over", name.first, later.message, earlier.message));
+      }
+    }
+  }
+}
+
+// Rule 6: a told wait holds every send to that destination, or route.
+void Checker::waits() {
+  std::map<std::pair<std::string, std::string>, std::vector<const Call*>> by_place;
+  for (const auto& c : calls) by_place[{c.relay, place_of(c.endpoint)}].push_back(&c);
+  for (auto& [name, all] : by_place) {
+    for (const auto* told : all) {
+      if (told->told_wait <= 0 || told->given_up_at < told->answered_at) continue;
+      checked(6)++;
+      const Time from = past_stalls(name.first, told->answered_at) + facts.slack, to = told->answered_at + told->told_wait;
+      const auto first = std::upper_bound(all.begin(), all.end(), from, [](Time t, const Call* c) { return t < c->at; });
+      if (first == all.end() || (*first)->at >= to) continue;
+      if (died_between(name.first, told->answered_at, (*first)->at)) continue;
+      broken(6, fmt::format("{} sent {} to {} {} ms before the end of a told wait", name.first, (*first)->message, (*first)->endpoint,
+                            (to - (*first)->at) / 1000));
+    }
+  }
+}
+
+}  // namespace
+
+Verdict check_rules(const Facts& facts, std::vector<Record> records, const std::vector<standin::Effect>& effects) {
+  std::stable_sort(records.begin(), records.end(), [](const Record& a, const Record& b) { return a.at < b.at; });
+  Checker c(facts, effects);
+  c.read(records);
+  c.one_answer();
+  c.no_effect_twice();
+  c.drains();
+  c.push_over();
+  c.order();
+  c.waits();
+  return std::move(c.verdict);
+}
+
+std::string table_of(const Verdict& verdict, std::size_t cases_shown) {
+  std::string out = fmt::format("{:<22} {:>10} {:>8}\n", "rule", "checked", "broken");
+  for (const auto& r : verdict.rules) {
+    out += fmt::format("{:<22} {:>10} {:>8}\n", r.name, r.checked, r.broken.size());
+    for (std::size_t i = 0; i < std::min(cases_shown, r.broken.size()); i++) out += "    " + r.broken[i] + "\n";
+  }
+  return out;
+}
+
+}  // namespace cedarplank::rig
--- /dev/null
+++ b/rig/drill.hpp
@@ -0,0 +1,33 @@
+// Plays a scenario: relays as processes of their own, stand-ins and clients here, troubles by the clock; then
+// has the rules judged.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "rig/checker.hpp"
+#include "rig/scenario.hpp"
+
+namespace cedarplank::rig {
+
+struct DrillOptions {
+  std::vector<std::string> relay_command;  // program and arguments before "--config FILE"
+  std::string keep;                        // folder for settings, logs and records; empty: a temporary one
+  bool quiet = false;
+};
+
+struct DrillResult {
+  Verdict verdict;
+  std::vector<std::string> class_names;
+  std::vector<LoadClient::Tally> tallies;
+  std::uint64_t doubled = 0, unanswered = 0, effects = 0, falls = 0;
+  bool relays_ended_well = true;  // each drained on SIGTERM with exit code 0
+  double took_s = 0;
+  std::string table() const;
+  bool good() const { return verdict.kept() && unanswered == 0 && relays_ended_well; }
+};
+
+// Throws std::runtime_error where a relay does not start.
+DrillResult run_drill(const Scenario& scenario, const DrillOptions& options);
+
+}  // namespace cedarplank::rig
