--- a/rig/drill.cpp
+++ b/rig/drill.cpp
@@ -4,6 +4,7 @@
 #include <rapidjson/document.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -51,6 +52,7 @@
     bool ready = false;
   };
 
+  std::string own_address();
   void start_standins();
   void write_list();
   void publish();
@@ -69,6 +71,7 @@
   config::RelaySettings template_;
   std::string folder_;
   bool remove_ = false;
+  int next_host_ = 1;
   loop::Loop loop_;
   pcg64 random_;
   std::vector<record::Record> records_;
@@ -94,12 +97,22 @@
   }
 }
 
+// A loopback address of its own for each listener, apart from those of other drills. Guards against a port that
+// another process is given while a stand-in is down or a relay is dead: sources of connections and listeners on
+// port 0 elsewhere are all on 127.0.0.1.
+std::string Drill::own_address() {
+  const int pid = getpid();
+  return fmt::format("127.{}.{}.{}:0", 64 + (pid >> 8) % 64, pid % 256, std::min(next_host_++, 254));
+}
+
 void Drill::start_standins() {
   const record::Sink sink = [this](record::Record&& r) { records_.push_back(std::move(r)); };
   std::uint64_t seed = s_.seed;
-  for (const auto& d : s_.destinations)
+  for (auto d : s_.destinations) {
+    for (auto& e : d.settings.endpoints) e.address = own_address();
     standins_.push_back(std::make_unique<standin::Destination>(
         loop_, d.settings, sink, [this](const standin::Effect& e) { effects_.push_back(e); }, ++seed * 104'729));
+  }
   list_ = standin::partner_list(s_.destinations, standins_, template_.names, 1);
   for (std::size_t d = 0; d < standins_.size(); d++) {
     const auto& settings = s_.destinations[d].settings;
@@ -183,7 +196,7 @@
 void Drill::drain_one(standin::Destination& d, const std::string& id) {
   // The new one is listed as the old one drains; then the old one leaves the list, then it stops.
   standin::EndpointSettings fresh;
-  fresh.id = id + "r";
+  fresh.id = id + "r", fresh.address = own_address();
   fresh.streams_max = d.settings().endpoints.front().streams_max;
   fresh.connections_max = d.settings().endpoints.front().connections_max;
   const std::string address = d.add(fresh).address();
@@ -333,9 +346,9 @@
     Relay r;
     r.name = "relay-" + std::to_string(i);
     r.config = folder_ + "/" + r.name + ".yaml";
-    r.address = "127.0.0.1:0";
-    // A port that is free now; the kernel gives out others for long before it comes back to this one.
-    net::Datagrams probe(loop_, net::Address::parse("127.0.0.1:0"), [](std::string_view) {});
+    r.address = own_address();
+    // On an address that nobody else uses a port that is free now stays free.
+    net::Datagrams probe(loop_, net::Address::parse(r.address), [](std::string_view) {});
     r.notes = probe.address().text();
     relays_.push_back(std::move(r));
   }
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,13 @@
+#!/bin/bash
+# Plays a scenario over and over with new seeds, for a bounded time; stops at the first one that is not clean.
+# Usage: scripts/soak.sh [MINUTES] [SCENARIO] [FIRST SEED]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+minutes=${1:-30} scenario=${2:-examples/bad-day.yaml} seed=${3:-100}
+end=$((SECONDS + minutes * 60))
+while ((SECONDS < end)); do
+  echo "seed $seed"
+  build/cedarplank drill "$scenario" --seed "$seed" --quiet --keep "build/soak-$seed" || { echo "kept in build/soak-$seed"; exit 1; }
+  rm -rf "build/soak-$seed"
+  seed=$((seed + 1))
+done
--- a/src/loop/timers.hpp
+++ b/src/loop/timers.hpp
@@ -93,7 +93,8 @@
 };
 
 // Hierarchical wheel (Varghese and Lauck): six levels of 64 slots, 256 us a slot on the lowest. A timer fires
-// in the first slot that ends at or after its deadline, so up to 256 us late; O(1) to add and cancel.
+// in the first slot that ends at or after its deadline, so up to 256 us late, and in no set order with others
+// of the same slot; O(1) to add and cancel.
 class TimerWheel {
  public:
   TimerWheel() { heads_.fill(kNone); }
@@ -231,6 +232,6 @@
 };
 
 // docs/design/loop.md has the figures that chose it.
-using TimerQueue = TimerHeap;
+using TimerQueue = TimerWheel;
 
 }  // namespace cedarplank::loop
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -1,7 +1,10 @@
 // The checker on recordings: a clean one, and one that breaks each rule. And the stand-ins' model.
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "rig/checker.hpp"
+#include "rig/scenario.hpp"
 
 namespace cedarplank::rig {
 namespace {
@@ -178,6 +181,15 @@
   EXPECT_THROW(record::from_json("{}"), std::runtime_error);
 }
 
+TEST(Scenario, TheExampleIsFineAndWrongOnesNameTheirLine) {
+  const auto s = load_scenario(EXAMPLES "/bad-day.yaml");
+  std::set<int> kinds;
+  for (const auto& t : s.troubles) kinds.insert(static_cast<int>(t.kind));
+  EXPECT_EQ(kinds.size(), 10u);  // every kind of trouble
+  EXPECT_LT(s.lasts, 90 * kS);
+  EXPECT_THROW(load_scenario(EXAMPLES "/quickstart/relay.yaml"), config::ConfigError);
+}
+
 // The tap reads frames by itself, in any pieces.
 TEST(Tap, ReadsFramesInPieces) {
   http2::Connection client(http2::Role::client), server(http2::Role::server);
--- /dev/null
+++ b/tests/cli_test.sh
@@ -0,0 +1,61 @@
+#!/bin/bash
+# Usage: cli_test.sh PROGRAM EXAMPLES: the program as its users meet it, with curl as the client.
+set -euo pipefail
+program=$1 examples=$2
+work=$(mktemp -d)
+relay= standin=
+trap 'kill -9 $relay $standin 2>/dev/null || true; rm -rf "$work"' EXIT
+fail() { echo "FAILED: $*"; cat "$work"/*.log; exit 1; }
+wait_for() { for _ in $(seq 600); do grep -q "$1" "$2" 2>/dev/null && return; sleep 0.05; done; fail "no '$1' in $2"; }
+
+for command in "" relay standin send check drill; do "$program" $command --help >/dev/null || fail "--help of '$command'"; done
+"$program" --version | grep -q '^cedarplank [0-9]' || fail "--version"
+"$program" check --config "$examples/quickstart/relay.yaml" | grep -q 'fine' || fail "the quickstart's settings"
+"$program" check --schema | grep -q '"classes"' || fail "--schema"
+code=0; "$program" nonsense 2>/dev/null || code=$?
+((code == 2)) || fail "exit code $code for a wrong command"
+sed 's/aim: 1s/aimm: 1s/' "$examples/quickstart/relay.yaml" >"$work/wrong.yaml"
+code=0; "$program" relay --config "$work/wrong.yaml" 2>"$work/wrong.log" || code=$?
+((code == 2)) || fail "exit code $code for wrong settings"
+grep -q "wrong.yaml:[0-9]*: classes\[0\].aimm: unknown key; did you mean 'aim'?" "$work/wrong.log" || fail "the error's words"
+
+cp "$examples"/measure/*.yaml "$work"
+sed -i 's/127.0.0.1:18190/127.0.0.1:0/' "$work/relay.yaml"
+"$program" standin --config "$work/standin.yaml" 2>"$work/standin.log" & standin=$!
+wait_for '"event":"ready"' "$work/standin.log"
+start() {
+  : >"$work/relay.log"
+  "$program" relay --config "$work/relay.yaml" 2>"$work/relay.log" & relay=$!
+  wait_for '"event":"ready"' "$work/relay.log"
+  address=$(grep -o '"listen":"[^"]*"' "$work/relay.log" | cut -d'"' -f4)
+}
+start
+head -1 "$work/relay.log" | grep -q '"event":"ready"' || fail "the first line is not ready"
+push() { curl -s -o "$work/body.log" -w '%{http_code} %{http_version}' --http2-prior-knowledge -X POST "$@"; }
+[ "$(push -H 'TTL: 5' -d hello "http://$address/push/d-1/load-status")" = "201 2" ] || fail "curl gets no 201"
+[ "$(push -d hello "http://$address/push/d-1/load-status")" = "400 2" ] || fail "no 400 without TTL"
+grep -q '"detail":"the TTL field is missing' "$work/body.log" || fail "no problem body"
+"$program" send --to "$address" --destinations d-1,d-2 --count 500 --quiet >"$work/send.log" || fail "send"
+grep -q 'final answers 500, doubled 0' "$work/send.log" || fail "send's table"
+
+kill -TERM $relay; code=0; wait $relay || code=$?
+((code == 0)) || fail "exit code $code after a drain"
+grep -q '"event":"stopped","how":"drained"' "$work/relay.log" || fail "no stopped line"
+# A second signal stops at once, though a message is held that no endpoint answers.
+cat >"$work/standin2.yaml" <<'Y'
+partners: partners.yaml
+destinations: [{name: d-1, kind: plain, endpoints: [{id: mute}]}]
+faults: [{at: 0s, fault: silent, on: [d-1]}]
+Y
+kill $standin; wait $standin || true
+"$program" standin --config "$work/standin2.yaml" 2>"$work/standin.log" & standin=$!
+wait_for 'fault_begins' "$work/standin.log"
+start
+push -H 'TTL: 16' -d x "http://$address/push/d-1/pay-and-order" >/dev/null & curl=$!
+for _ in $(seq 600); do kill -0 $curl && break; sleep 0.05; done
+sleep 0.3
+kill -TERM $relay
+wait_for '"event":"draining","held":"1"' "$work/relay.log"
+kill -TERM $relay; code=0; wait $relay || code=$?
+((code == 3)) || fail "exit code $code after two signals"
+wait $curl || true
