--- a/src/gateway/front.cpp
+++ b/src/gateway/front.cpp
@@ -48,10 +48,8 @@
 }
 
 void Front::accept(net::Fd fd) {
-  if (clients_.size() >= static_cast<std::size_t>(settings_.client_connections_max)) {
-    // At the cap connections wait in the backlog until another one ends: see close().
-    listener_->pause(true);
-  }
+  // At the cap further connections wait in the backlog until another one ends: see close().
+  if (clients_.size() + 1 >= static_cast<std::size_t>(settings_.client_connections_max)) listener_->pause(true);
   http2::LocalSettings local;
   local.max_concurrent_streams = static_cast<std::uint32_t>(settings_.client_streams_max);
   auto client = std::make_unique<Client>(local);
@@ -143,6 +141,9 @@
       while (!c.coming.empty()) drop_request(c, c.coming.begin()->first);
       break;
     }
+    case Type::ping_ack:
+      if (stopping_) c.h2.goaway();
+      break;
     default:
       break;
   }
@@ -270,8 +271,10 @@
   stopping_ = true;
   listener_.reset();
   for (auto& [id, c] : clients_) {
-    // Requests above the GOAWAY's last stream were not taken, and the client knows (RFC 9113 section 6.8).
-    c->h2.goaway();
+    // RFC 9113 section 6.8: announced first; once the client has heard of it (it answers the PING) the last stream
+    // is fixed. Requests that come in between are answered as not taken.
+    c->h2.announce_shutdown();
+    c->h2.ping("draining");
     flush(*c);
   }
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -248,7 +248,7 @@
   if (bind(fd_.get(), on.data(), on.size()) != 0) fail("bind");
   if (listen(fd_.get(), backlog) != 0) fail("listen");
   loop_.watch(fd_.get(), POLLIN, [this](short) {
-    for (int i = 0; i < 64; i++) {
+    for (int i = 0; i < 64 && !paused_; i++) {
       const int fd = accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0) {
         if (errno == EMFILE || errno == ENFILE) {
@@ -270,6 +270,9 @@
   if (fd_) loop_.unwatch(fd_.get());
 }
 
-void Listener::pause(bool paused) { loop_.change(fd_.get(), paused ? short{0} : short{POLLIN}); }
+void Listener::pause(bool paused) {
+  paused_ = paused;
+  loop_.change(fd_.get(), paused ? short{0} : short{POLLIN});
+}
 
 }  // namespace cedarplank::net
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -125,6 +125,7 @@
   loop::Loop& loop_;
   Fd fd_;
   std::function<void(Fd)> accepted_;
+  bool paused_ = false;
   loop::TimerId retry_ = 0;  // accepts again after running out of descriptors
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -93,7 +93,6 @@
   front_->stop_taking();
   drain_timer_ = loop_.after(settings_.drain_within, [this] {
     drain_timer_ = 0;
-    deadline_passed_ = true;
     ended_ = core_->held();
     core_->end_all(loop_.now());
     // Those that can't take their answers have no more than this.
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -58,7 +58,6 @@
   Time timer_at_ = 0;
   std::function<void(std::size_t)> drained_;
   std::size_t ended_ = 0;
-  bool deadline_passed_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/record/tap.cpp
+++ b/src/record/tap.cpp
@@ -59,16 +59,14 @@
   d.Parse(line.data(), line.size());
   if (d.HasParseError() || !d.IsObject()) throw std::runtime_error("a record is no JSON object");
   const auto text = [&](const char* key) {
-    const auto it = d.FindMember(key);
-    return it != d.MemberEnd() && it->value.IsString() ? std::string(it->value.GetString(), it->value.GetStringLength()) : std::string();
+    if (!d.HasMember(key) || !d[key].IsString()) return std::string();
+    return std::string(d[key].GetString(), d[key].GetStringLength());
   };
   const auto number = [&](const char* key) {
-    const auto it = d.FindMember(key);
-    return it != d.MemberEnd() && it->value.IsInt64() ? it->value.GetInt64() : 0;
+    return d.HasMember(key) && d[key].IsInt64() ? d[key].GetInt64() : std::int64_t{0};
   };
   const auto flag = [&](const char* key) {
-    const auto it = d.FindMember(key);
-    return it != d.MemberEnd() && it->value.IsBool() && it->value.GetBool();
+    return d.HasMember(key) && d[key].IsBool() && d[key].GetBool();
   };
   Record r;
   r.at = number("at");
@@ -79,10 +77,11 @@
   r.sent = flag("sent"), r.end = flag("end");
   r.stream = static_cast<std::uint32_t>(number("stream"));
   r.code = static_cast<std::uint32_t>(number("code")), r.last = static_cast<std::uint32_t>(number("last"));
-  const auto fields = d.FindMember("fields");
-  if (fields != d.MemberEnd() && fields->value.IsObject())
-    for (const auto& f : fields->value.GetObject())
-      if (f.value.IsString()) r.fields[f.name.GetString()] = f.value.GetString();
+  if (d.HasMember("fields") && d["fields"].IsObject()) {
+    const auto& fields = d["fields"];
+    for (auto f = fields.MemberBegin(); !(f == fields.MemberEnd()); ++f)
+      if (f->value.IsString()) r.fields[f->name.GetString()] = f->value.GetString();
+  }
   return r;
 }
 
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -83,6 +83,10 @@
   EXPECT_EQ(d.broken(), "1");
   d.facts.lives.push_back({"r", 0, 3 * kS});  // what a killed relay held is the client's
   EXPECT_EQ(d.broken(), "");
+  Day dead;  // pushed at a relay that is dead already, before its client noticed
+  dead.push(kS, "m-1.0", "safe");
+  dead.facts.lives.push_back({"r", 0, kS - 20 * kMs});
+  EXPECT_EQ(dead.broken(), "");
 }
 TEST(Checker, Rule1LateTwiceOrAfterTheEnd) {
   Day late;
