One conformance suite for both forms: 107 cases, the same final answers message for message

Need: linked in or run apart, the engine has to behave the same, so that neither form rots.

Change: tests/conformance_test.cpp plays the same scripts against cedarplank::delivery and against the daemon's HTTP/2 front, on every effect class, outcome and exit; a daemon with a planted fault shows as different.

The batch example found a flaw: a drain refused what had been submitted before it and was still on its way between threads; it is now taken first.

--- /dev/null
+++ b/bench/delivery_bench.cpp
@@ -0,0 +1,137 @@
+// Hand-over between threads: submissions a second by 1 to 64 threads through the lock-free queue and through a mutex
+// and a deque, with coalesced wake-ups; and the bytes of a held message.
+#include <benchmark/benchmark.h>
+#include <concurrentqueue/concurrentqueue.h>
+#include <malloc.h>
+
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include "loop/loop.hpp"
+#include "relay/core.hpp"
+
+namespace cedarplank {
+namespace {
+
+struct Item {
+  std::uint64_t ticket;
+  relay::NewMessage message;
+};
+Item item() {
+  Item i{1, {}};
+  i.message.body.assign(256, 'x'), i.message.idempotency_key = "k-000000000000000001";
+  return i;
+}
+
+struct LockFree {
+  moodycamel::ConcurrentQueue<Item> queue;
+  void put(Item i) { queue.enqueue(std::move(i)); }
+  std::size_t take(Item* out, std::size_t n) { return queue.try_dequeue_bulk(out, n); }
+};
+struct Locked {
+  std::mutex mutex;
+  std::deque<Item> queue;
+  void put(Item i) {
+    const std::lock_guard lock(mutex);
+    queue.push_back(std::move(i));
+  }
+  std::size_t take(Item* out, std::size_t n) {
+    const std::lock_guard lock(mutex);
+    std::size_t got = 0;
+    for (; got < n && !queue.empty(); got++) out[got] = std::move(queue.front()), queue.pop_front();
+    return got;
+  }
+};
+
+template <class Queue>
+void hand_over(benchmark::State& state) {
+  constexpr int kEach = 4'000;
+  const int threads = static_cast<int>(state.range(0));
+  std::uint64_t wakes = 0;
+  for (auto _ : state) {
+    Queue queue;
+    loop::Loop loop;
+    std::atomic<bool> woken{false};
+    int got = 0;
+    std::function<void()> drain = [&] {
+      woken = false;
+      wakes++;
+      Item batch[64];
+      for (std::size_t n; (n = queue.take(batch, 64)) > 0;) got += static_cast<int>(n);
+      if (got == threads * kEach) loop.stop();
+    };
+    std::vector<std::thread> hosts;
+    for (int t = 0; t < threads; t++)
+      hosts.emplace_back([&] {
+        for (int i = 0; i < kEach; i++) {
+          queue.put(item());
+          if (!woken.exchange(true)) loop.post(drain);
+        }
+      });
+    loop.run();
+    for (auto& h : hosts) h.join();
+  }
+  state.SetItemsProcessed(state.iterations() * threads * kEach);
+  state.counters["per_wake"] = static_cast<double>(state.iterations()) * threads * kEach / static_cast<double>(wakes);
+}
+BENCHMARK(hand_over<LockFree>)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->UseRealTime()->Unit(benchmark::kMillisecond);
+BENCHMARK(hand_over<Locked>)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->UseRealTime()->Unit(benchmark::kMillisecond);
+
+// From post() on another thread until the loop runs it, there and back.
+void wake_up(benchmark::State& state) {
+  loop::Loop there, back;
+  std::thread t([&] { there.run(); });
+  for (auto _ : state) {
+    there.post([&] { back.post([&] { back.stop(); }); });
+    back.run();
+  }
+  there.stop();
+  t.join();
+}
+BENCHMARK(wake_up)->UseRealTime();
+
+struct Nothing final : relay::Transport, relay::Answers, relay::ListSource, relay::Notes, relay::Log, relay::Decider {
+  void send(const relay::CallOrder&) override {}
+  Recalled cancel(relay::CallId) override { return Recalled::sent; }
+  std::vector<relay::CallId> recall(const EndpointId&) override { return {}; }
+  void close_idle(const EndpointId&) override {}
+  void probe(const EndpointId&) override {}
+  void served(MessageId, const relay::Ending&) override {}
+  void refused(MessageId, Time, const relay::Account&) override {}
+  void failed(MessageId, const relay::Account&) override {}
+  void fetch() override {}
+  void subscribe(bool) override {}
+  void tell(int, const std::string&) override {}
+  void line(const std::string&) override {}
+  void handle(Time, const std::vector<Event>&, std::vector<Action>&) override {}
+};
+// Core and module together, with a body of 256 bytes and a destination that takes nothing.
+void held_bytes(benchmark::State& state) {
+  const auto n = static_cast<std::size_t>(state.range(0));
+  double bytes = 0;
+  for (auto _ : state) {
+    Nothing ports;
+    Settings s;
+    s.classes = {{.aim = 1'000'000, .deadline = 3'600'000'000}};
+    s.kinds = {{}};
+    s.open_max = static_cast<int>(n) * 2;
+    relay::Core core(s, relay::make_dispatcher(s, 1), {ports, ports, ports, ports, ports});
+    core.list_whole({{"e", 0, 0, 0, Listing::active, 1, 0}}, false);
+    core.turn(1'000'000);
+    const auto before = mallinfo2().uordblks;
+    for (std::size_t i = 0; i < n; i++) {
+      Item one = item();
+      one.message.time_left = 3'600'000'000;
+      core.take(1'000'000, i + 1, std::move(one.message));
+    }
+    core.turn(1'100'000);
+    bytes = static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(n);
+  }
+  state.counters["bytes"] = bytes;
+}
+BENCHMARK(held_bytes)->Arg(1'000)->Arg(10'000)->Arg(100'000)->Iterations(1)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace cedarplank
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -159,7 +159,11 @@
       state = s.next;
     }
     if (moved) changed.notify_all();
-    if (s.stop_taking && node) node->stop_taking();
+    if (s.stop_taking && node) {
+      // What was taken before a drain goes on, also what is still on its way from the hosts' threads.
+      if (s.next == State::draining) settle_orders();
+      node->stop_taking();
+    }
     if (s.end_all) end_all();
     if (s.close) close();
   }
@@ -176,9 +180,7 @@
   }
 
   void end_all() {
-    // No submission can be half way in: those that began before the state changed have been counted out.
-    while (submitting.load() != 0) std::this_thread::yield();
-    flush_orders();
+    settle_orders();
     node->end_all();
     loop.defer([this] { look_for_end(0); });
   }
@@ -246,7 +248,9 @@
     }
     wake();  // more is there: after the loop's other work
   }
-  void flush_orders() {
+  // After the state has changed no submission can begin; those half way in are waited for.
+  void settle_orders() {
+    while (submitting.load() != 0) std::this_thread::yield();
     Order order;
     while (orders.try_dequeue(order)) take_order(std::move(order));
   }
--- /dev/null
+++ b/tests/conformance_test.cpp
@@ -0,0 +1,218 @@
+// One suite against both forms: the engine linked in, and the daemon through its HTTP/2 front. Same scripts, same
+// seed, stand-ins as peers; the same final answers, message for message.
+//
+// Timing is kept from making them differ: every case has a destination of its own, whose stand-in answers by the script
+// of that message (its first, second, ... call), so that what the module sees does not depend on when.
+#include <signal.h>
+
+#include <cstdlib>
+
+#include "cedarplank/delivery.hpp"
+#include "form.hpp"
+#include "rig/process.hpp"
+
+namespace cedarplank::testing {
+namespace {
+
+struct Case {
+  std::string name, message_class, script, kind;
+  Time ttl = 20 * kS;
+  bool by_exit = false;   // ended by the drain's deadline: attempts depend on time
+  std::string key = {}, topic = {}, destination = {};  // destination: another one than its own
+  std::size_t body = 0;
+};
+
+struct Result {
+  std::string final;   // served, refused, failed, rejected
+  int attempts = -1;   // not for served ones
+  int effects = 0;
+  std::string detail;
+  bool operator==(const Result& o) const { return final == o.final && attempts == o.attempts && effects == o.effects && detail == o.detail; }
+};
+std::ostream& operator<<(std::ostream& out, const Result& r) {
+  return out << r.final << ", " << r.attempts << " attempts, " << r.effects << " effects, '" << r.detail << "'";
+}
+
+std::vector<Case> cases() {
+  std::vector<Case> all;
+  const char* scripts[] = {"201",         "429 201", "refuse 201", "503 201",     "500 201",        "drop 201", "429 429 201", "refuse 429 201",
+                           "429 500 201", "429",     "refuse",     "500",         "drop",           "429 drop", "503",         "404"};
+  for (const char* cls : {"status", "pay", "notice", "gate"}) {
+    for (const char* script : scripts) all.push_back({std::string(cls) + ": " + script, cls, script, "plain"});
+    all.push_back({std::string(cls) + ": unseen 503 201", cls, "503 201", "unseen"});
+    all.push_back({std::string(cls) + ": silent, 2 s", cls, "silent", "plain", 2 * kS});
+    all.push_back({std::string(cls) + ": no destination", cls, "201", "plain", 20 * kS, false, "", "", "nowhere"});
+    all.push_back({std::string(cls) + ": too large", cls, "201", "plain", 20 * kS, false, "", "", "", 100'000});
+  }
+  all.push_back({"no class", "other", "201", "plain"});
+  all.push_back({"wrong topic", "gate", "201", "plain", 20 * kS, false, "k", "not base64url!"});
+  all.push_back({"long key", "notice", "201", "plain", 20 * kS, false, std::string(300, 'k')});
+  return all;
+}
+// Held when the drain's deadline comes.
+std::vector<Case> exit_cases() {
+  std::vector<Case> all;
+  for (const char* cls : {"status", "pay", "notice", "gate"})
+    for (const char* script : {"201", "silent", "429", "refuse", "500 silent", "429 silent"})
+      all.push_back({std::string(cls) + ", drained: " + script, cls, script, "plain", 20 * kS, true});
+  return all;
+}
+
+struct Prepared {
+  Standins standins;
+  const std::vector<Case>& list;
+  explicit Prepared(const std::vector<Case>& l) : list(l) {
+    for (std::size_t i = 0; i < list.size(); i++) standins.add(own(i), list[i].script, 1, list[i].kind);
+    standins.start();
+  }
+  static std::string own(std::size_t i) { return "c" + std::to_string(i); }
+  std::string destination(std::size_t i) const { return list[i].destination.empty() ? own(i) : list[i].destination; }
+  std::string body(std::size_t i) const {
+    std::string b = "id=m" + std::to_string(i) + ";";
+    b.resize(std::max(b.size(), list[i].body), 'x');
+    return b;
+  }
+  std::string key(std::size_t i) const {
+    const bool keyed = list[i].message_class == "notice" || list[i].message_class == "gate";
+    return !list[i].key.empty() ? list[i].key : keyed ? "k" + std::to_string(i) : "";
+  }
+  void finish(std::vector<Result>& results) {
+    for (std::size_t i = 0; i < list.size(); i++) {
+      results[i].effects = standins.effects(own(i) + "/m" + std::to_string(i));
+      if (list[i].by_exit || results[i].final == "served" || results[i].final == "rejected") results[i].attempts = -1, results[i].detail = "";
+    }
+  }
+};
+
+std::vector<Result> linked(const std::vector<Case>& list, Time drain_after) {
+  Prepared p(list);
+  auto engine = delivery::Engine::open(p.standins.settings_file());
+  std::vector<Result> results(list.size());
+  std::vector<std::future<delivery::Answer>> futures;
+  for (std::size_t i = 0; i < list.size(); i++) {
+    delivery::Message m;
+    m.destination = p.destination(i), m.message_class = list[i].message_class, m.time_to_live = list[i].ttl;
+    m.idempotency_key = p.key(i), m.topic = list[i].topic, m.body = p.body(i);
+    futures.push_back(engine->submit_future(std::move(m)));
+  }
+  if (drain_after > 0) {
+    std::this_thread::sleep_for(std::chrono::microseconds(drain_after));
+    engine->drain(400 * kMs);
+  }
+  static constexpr const char* kFinals[] = {"served", "refused", "failed", "withdrawn", "rejected"};
+  for (std::size_t i = 0; i < list.size(); i++) {
+    const auto a = futures[i].get();
+    results[i] = {kFinals[static_cast<int>(a.final)], a.attempts, 0, a.detail};
+  }
+  p.finish(results);
+  return results;
+}
+
+std::vector<Result> daemon(const std::vector<Case>& list, Time drain_after, const std::vector<std::string>& program) {
+  Prepared p(list);
+  loop::Loop loop;
+  std::string address;
+  auto command = program;
+  command.insert(command.end(), {"--config", p.standins.settings_file()});
+  rig::Process relay(loop, command, [&](const std::string& line) {
+    const auto at = line.find("\"listen\":\"");
+    if (address.empty() && at != std::string::npos) address = line.substr(at + 10, line.find('"', at + 10) - at - 10);
+  });
+  std::vector<Result> results(list.size());
+  turn(loop, [&] { return !address.empty(); });
+  Client c(loop, address);
+  std::map<http2::StreamId, std::size_t> streams;
+  for (std::size_t i = 0; i < list.size(); i++) {
+    http2::Headers more = {{"ttl", std::to_string(list[i].ttl / kS)}};
+    if (!p.key(i).empty()) more.push_back({"idempotency-key", p.key(i)});
+    if (!list[i].topic.empty()) more.push_back({"topic", list[i].topic});
+    streams[c.push("/push/" + p.destination(i) + "/" + list[i].message_class, p.body(i), more)] = i;
+  }
+  if (drain_after > 0) {
+    rest(loop, drain_after);
+    relay.signal(SIGTERM);
+  }
+  turn(loop, [&] { return c.answers.size() == list.size(); });
+  for (const auto& [stream, i] : streams) {
+    EXPECT_EQ(c.answers[stream], 1) << list[i].name;
+    const auto status = c.status(stream);
+    Result& r = results[i];
+    r.final = status == "201" ? "served" : status == "503" ? "refused" : status == "502" || status == "504" ? "failed" : "rejected";
+    const auto& body = c.bodies[stream];
+    const auto field = [&](const std::string& key) {
+      const auto at = body.find("\"" + key + "\":");
+      if (at == std::string::npos) return std::string();
+      const auto from = at + key.size() + 3;
+      return body[from] == '"' ? body.substr(from + 1, body.find('"', from + 1) - from - 1) : body.substr(from, body.find_first_of(",}", from) - from);
+    };
+    r.attempts = field("attempts").empty() ? -1 : std::atoi(field("attempts").c_str());
+    r.detail = field("last_outcome") == "never sent" ? "" : field("last_outcome");
+  }
+  if (drain_after == 0) relay.signal(SIGTERM);  // a second one would stop it at once
+  turn(loop, [&] { return !relay.running(); });
+  EXPECT_EQ(relay.exit_code(), 0);
+  p.finish(results);
+  return results;
+}
+
+std::size_t differences(const std::vector<Case>& list, const std::vector<Result>& a, const std::vector<Result>& b, bool tell) {
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < list.size(); i++) {
+    if (a[i] == b[i]) continue;
+    n++;
+    if (tell) ADD_FAILURE() << list[i].name << "\n  linked: " << a[i] << "\n  daemon: " << b[i];
+  }
+  return n;
+}
+
+// What the rules demand of either form, whatever the other says.
+void keep_the_rules(const std::vector<Case>& list, const std::vector<Result>& results) {
+  for (std::size_t i = 0; i < list.size(); i++) {
+    const auto& [c, r] = std::pair(list[i], results[i]);
+    if (c.message_class == "pay") {
+      EXPECT_LE(r.effects, 1) << c.name;  // rule 2
+      if (r.final == "refused") {
+        EXPECT_EQ(r.effects, 0) << c.name;
+      }
+      const bool doubt = c.script.find("500") == 0 || c.script.find("drop") == 0 || c.script == "silent" || (c.script == "503 201" && c.kind == "plain");
+      if (doubt && r.final != "rejected") {
+        EXPECT_EQ(r.final, "failed") << c.name;
+      }
+    }
+    if (r.final == "served") {
+      EXPECT_GE(r.effects, 1) << c.name;
+    }
+    if (c.script == "201" && r.final != "rejected") {
+      EXPECT_EQ(r.final, "served") << c.name;
+    }
+  }
+}
+
+const std::vector<std::string> kDaemon = {PROGRAM, "relay"};
+
+TEST(Conformance, BothFormsGiveTheSameFinalAnswers) {
+  const auto list = cases();
+  EXPECT_GE(list.size(), 60u);
+  const auto a = linked(list, 0), b = daemon(list, 0, kDaemon);
+  keep_the_rules(list, a), keep_the_rules(list, b);
+  EXPECT_EQ(differences(list, a, b, true), 0u);
+}
+
+TEST(Conformance, BothFormsEndWhatIsHeldInTheSameWay) {
+  const auto list = exit_cases();
+  const auto a = linked(list, 500 * kMs), b = daemon(list, 500 * kMs, kDaemon);
+  keep_the_rules(list, a), keep_the_rules(list, b);
+  EXPECT_EQ(differences(list, a, b, true), 0u);
+}
+
+// The suite can tell forms apart: a daemon that takes lost calls for unsent ones.
+TEST(Conformance, APlantedDifferenceShows) {
+  setenv("CEDARPLANK_FAULT", "2", 1);
+  const auto list = cases();
+  const auto a = linked(list, 0), b = daemon(list, 0, {FAULTY});
+  unsetenv("CEDARPLANK_FAULT");
+  EXPECT_GT(differences(list, a, b, false), 0u);
+}
+
+}  // namespace
+}  // namespace cedarplank::testing
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -211,6 +211,56 @@
   EXPECT_EQ(f.engine->submit_future(message()).get().final, Final::served);
 }
 
+// 64 threads, each keeping its own order; a stop comes in the middle.
+TEST(Delivery, StressFromManyThreads) {
+  Standins standins;
+  for (int i = 0; i < 20; i++) standins.add("d" + std::to_string(i), "");
+  standins.start();
+  const auto engine = Engine::open(standins.settings_file());
+  const int each = std::getenv("CEDARPLANK_STRESS") ? std::atoi(std::getenv("CEDARPLANK_STRESS")) / 64 : 150;
+  std::atomic<std::uint64_t> taken{0}, answered{0}, served{0};
+  std::vector<std::thread> hosts;
+  for (int t = 0; t < 64; t++)
+    hosts.emplace_back([&, t] {
+      for (int i = 0; i < each; i++) {
+        auto m = message(i % 4 ? "status" : "pay", "d" + std::to_string((t + i) % 20));
+        const auto s = engine->submit_for(std::move(m), 60'000'000, [&](const Answer& a) { answered++, served += a.final == Final::served; });
+        taken += s.status == Submitted::taken;
+        if (s.status == Submitted::closed) return;
+      }
+    });
+  while (taken < static_cast<std::uint64_t>(each) * 64 * 9 / 10) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  engine->drain(30'000'000);
+  for (auto& h : hosts) h.join();
+  EXPECT_TRUE(engine->wait(60'000'000));
+  EXPECT_EQ(answered, taken);
+  EXPECT_GT(served, taken / 2);
+}
+
+// Messages of one key go in the order in which their thread submitted them.
+TEST(Delivery, OrderedClassesKeepEachThreadsOrder) {
+  Fixture f;
+  std::mutex mutex;
+  std::map<int, std::vector<int>> order;
+  std::vector<std::thread> hosts;
+  for (int t = 0; t < 8; t++)
+    hosts.emplace_back([&, t] {
+      for (int i = 0; i < 20; i++) {
+        auto m = message("gate");
+        m.topic = "t" + std::to_string(t);
+        f.engine->submit(std::move(m), [&, t, i](const Answer& a) {
+          const std::lock_guard lock(mutex);
+          EXPECT_EQ(a.final, Final::served);
+          order[t].push_back(i);
+        });
+      }
+    });
+  for (auto& h : hosts) h.join();
+  f.engine->drain(60'000'000);
+  EXPECT_TRUE(f.engine->wait(60'000'000));
+  for (const auto& [t, list] : order) EXPECT_TRUE(list.size() == 20 && std::is_sorted(list.begin(), list.end())) << t;
+}
+
 // Submissions racing with a stop, many times over: each taken ticket is answered exactly once.
 TEST(Delivery, RandomShutdowns) {
   Standins standins;
