--- a/bench/delivery_bench.cpp
+++ b/bench/delivery_bench.cpp
@@ -6,9 +6,12 @@
 
 #include <atomic>
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <mutex>
 #include <thread>
 
+#include "cedarplank/delivery.hpp"
 #include "loop/loop.hpp"
 #include "relay/core.hpp"
 
@@ -92,6 +95,28 @@
 }
 BENCHMARK(wake_up)->UseRealTime();
 
+// From submit() to the callback of a message that is answered without a call (it names no destination): the hand-over
+// both ways, with threads of the engine's own and on the host's.
+void answer(benchmark::State& state) {
+  const auto folder = std::filesystem::temp_directory_path() / "cedarplank-bench";
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder / "partners.yaml") << "partners: []\n";
+  delivery::Options o;
+  const bool host = state.range(0) != 0;
+  if (host) o.threading = delivery::Options::Threading::host;
+  const auto engine = delivery::Engine::open_text((folder / "relay.yaml").string(),
+                                                  "relay: {listen: \"127.0.0.1:0\"}\npartners: {file: partners.yaml}\nclasses: [{name: c}]\n", std::move(o));
+  for (auto _ : state) {
+    std::atomic<bool> done{false};
+    delivery::Message m;
+    m.destination = "none", m.message_class = "c";
+    engine->submit(std::move(m), [&](const delivery::Answer&) { done = true; });
+    while (!done)
+      if (host) engine->run_once(-1);
+  }
+}
+BENCHMARK(answer)->ArgName("host")->Arg(0)->Arg(1)->UseRealTime();
+
 struct Nothing final : relay::Transport, relay::Answers, relay::ListSource, relay::Notes, relay::Log, relay::Decider {
   void send(const relay::CallOrder&) override {}
   Recalled cancel(relay::CallId) override { return Recalled::sent; }
