--- a/bench/delivery_bench.cpp
+++ b/bench/delivery_bench.cpp
@@ -110,7 +110,8 @@
     std::atomic<bool> done{false};
     delivery::Message m;
     m.destination = "none", m.message_class = "c";
-    engine->submit(std::move(m), [&](const delivery::Answer&) { done = true; });
+    if (engine->submit(std::move(m), [&](const delivery::Answer&) { done = true; }).status != delivery::Submitted::taken)
+      return state.SkipWithError("not taken");
     while (!done)
       if (host) engine->run_once(-1);
   }
--- a/src/config/relay_settings.cpp
+++ b/src/config/relay_settings.cpp
@@ -96,6 +96,8 @@
   for (const auto& k : root.items("kinds")) s.kinds.push_back({k.boolean("routes_apart", false), k.integer("bundle_max", 1)});
   for (const auto& t : root.items("tenants")) s.tenants.push_back({t.rate("quota", 0)});
   for (const auto& z : root.items("zones")) s.zone_fees.push_back(z.number("fee", 0));
+  s.slots = 64, s.open_max = 1000, s.attempts_max = 8;  // also where there is no such section
+  s.cancelling = true, s.retry_after_max = 30'000'000;
   if (!root.has("dispatcher")) return s;
   const Value v = root.at("dispatcher");
   s.decay = v.word<Decay>("decay", {{"line", Decay::line}, {"halves", Decay::halves}}, s.decay);
@@ -107,17 +109,17 @@
   s.rank = v.integer("rank", s.rank);
   if (s.rank >= s.relays) (v.has("rank") ? v.at("rank") : v).fail("rank must be less than relays");
   if (v.has("zone")) s.zone = v.at("zone").position(names.zones, "zone");
-  s.slots = v.integer("slots", 64);
-  s.open_max = v.integer("open_max", 1000);
-  s.attempts_max = v.integer("attempts_max", 8);
+  s.slots = v.integer("slots", s.slots);
+  s.open_max = v.integer("open_max", s.open_max);
+  s.attempts_max = v.integer("attempts_max", s.attempts_max);
   s.second_copies = v.boolean("second_copies", s.second_copies);
-  s.cancelling = v.boolean("cancelling", true);
+  s.cancelling = v.boolean("cancelling", s.cancelling);
   s.probes = v.boolean("probes", s.probes);
   s.subscribe = v.boolean("subscribe", s.subscribe);
   s.tick = v.duration("tick", s.tick);
   s.connect_timeout = v.duration("connect_timeout", s.connect_timeout);
   s.connection_idle = v.duration("connection_idle", s.connection_idle);
-  s.retry_after_max = v.duration("retry_after_max", 30'000'000);
+  s.retry_after_max = v.duration("retry_after_max", s.retry_after_max);
   s.answer_slack = v.duration("answer_slack", s.answer_slack);
   s.drain_grace = v.duration("drain_grace", s.drain_grace);
   s.must_ask_in = v.duration("must_ask_in", s.must_ask_in);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -239,7 +239,7 @@
   void failed(MessageId id, const relay::Account& a) override { answered(id, {0, Final::failed, 0, a.attempts, a.last}); }
 
   void take_orders() {
-    woken = false;
+    woken.exchange(false);  // reads what was put in before the mark was set
     Order batch[64];
     for (std::size_t n = 0, got = 0; n < kBatch; n += got) {
       got = orders.try_dequeue_bulk(batch, 64);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -48,6 +48,12 @@
   EXPECT_EQ(s.dispatcher.tick, 5'000);
 }
 
+TEST(Settings, HaveTheirDefaultsWithoutADispatcherSection) {
+  const auto s = parse_relay_settings("r.yaml", "relay: {listen: \"127.0.0.1:0\"}\npartners: {file: p}\nclasses: [{name: c}]\n");
+  EXPECT_EQ(s.dispatcher.slots, 64);
+  EXPECT_EQ(s.dispatcher.open_max, 1000);
+}
+
 TEST(Settings, ErrorsNameFileLineAndKey) {
   const std::vector<std::array<std::string, 3>> cases = {
       {"aim: 1s", "aimm: 1s", "dir/relay.yaml:7: classes[0].aimm: unknown key; did you mean 'aim'?"},
