--- a/app/check.cpp
+++ b/app/check.cpp
@@ -6,7 +6,8 @@
 namespace cedarplank::app {
 
 void add_check(CLI::App& app, Run& run) {
-  auto* command = app.add_subcommand("check", "check a relay's settings and its partner list without starting it");
+  auto* command =
+      app.add_subcommand("check", "check a relay's settings and its partner list without starting it");
   auto config = std::make_shared<std::string>();
   auto schema = std::make_shared<bool>(false);
   command->add_option("--config", *config, "settings of the relay (YAML)");
@@ -24,7 +25,8 @@
       const auto s = config::load_relay_settings(*config);
       const auto list = config::parse_partners(s.partners_file, config::read_file(s.partners_file), s.names);
       std::printf("%s: fine: %zu classes, %zu kinds, %zu tenants; %zu endpoints listed\n", config->c_str(),
-                  s.names.classes.size(), s.names.kinds.size(), s.names.tenants.size(), list.endpoints.size());
+                  s.names.classes.size(), s.names.kinds.size(), s.names.tenants.size(),
+                  list.endpoints.size());
       return Exit::ok;
     };
   });
--- a/app/drill.cpp
+++ b/app/drill.cpp
@@ -1,13 +1,15 @@
+#include "rig/drill.hpp"
+
 #include <cstdio>
 #include <filesystem>
 
 #include "app/commands.hpp"
-#include "rig/drill.hpp"
 
 namespace cedarplank::app {
 
 void add_drill(CLI::App& app, Run& run) {
-  auto* command = app.add_subcommand("drill", "play a scripted day with relays as processes, and judge the rules");
+  auto* command =
+      app.add_subcommand("drill", "play a scripted day with relays as processes, and judge the rules");
   struct Options {
     std::string scenario, keep, relay_program;
     std::uint64_t seed = 0;
--- a/app/json_log.hpp
+++ b/app/json_log.hpp
@@ -14,7 +14,8 @@
 
 class JsonLog {
  public:
-  explicit JsonLog(const std::string& name) : logger_(name, std::make_shared<spdlog::sinks::stderr_sink_mt>()) {
+  explicit JsonLog(const std::string& name)
+      : logger_(name, std::make_shared<spdlog::sinks::stderr_sink_mt>()) {
     logger_.set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z","level":"%l","name":"%n",%v})");
     logger_.flush_on(spdlog::level::info);
   }
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -11,7 +11,8 @@
   CLI::App app{"cedarplank: takes messages and delivers them to many outside destinations"};
   app.set_version_flag("--version", "cedarplank " CEDARPLANK_VERSION);
   app.require_subcommand(1);
-  app.footer("Exit codes: 0 ok, 1 failed, 2 bad input, 3 stopped at once by a second signal, 4 a rule was broken.");
+  app.footer(
+      "Exit codes: 0 ok, 1 failed, 2 bad input, 3 stopped at once by a second signal, 4 a rule was broken.");
   Run run;
   add_relay(app, run);
   add_standin(app, run);
--- a/app/send.cpp
+++ b/app/send.cpp
@@ -68,8 +68,8 @@
   loop.run();
   const double took = static_cast<double>(loop.refresh() - begun) * 1e-6;
   if (!o.quiet) std::fprintf(stderr, "\n");
-  std::printf("%-16s %8s %8s %8s %8s %8s %8s %10s %10s %10s\n", "class", "asked", "served", "refused", "failed", "bad", "lost",
-              "p50 ms", "p90 ms", "p99 ms");
+  std::printf("%-16s %8s %8s %8s %8s %8s %8s %10s %10s %10s\n", "class", "asked", "served", "refused",
+              "failed", "bad", "lost", "p50 ms", "p90 ms", "p99 ms");
   std::vector<Time> all;
   std::uint64_t answers = 0, bad = 0;
   for (std::size_t i = 0; i < s.classes.size(); i++) {
@@ -80,13 +80,16 @@
                 static_cast<unsigned long long>(t.asked), static_cast<unsigned long long>(t.served),
                 static_cast<unsigned long long>(t.refused), static_cast<unsigned long long>(t.failed),
                 static_cast<unsigned long long>(t.bad), static_cast<unsigned long long>(t.lost),
-                static_cast<double>(rig::percentile(t.latencies, 0.5)) * 1e-3, static_cast<double>(rig::percentile(t.latencies, 0.9)) * 1e-3,
+                static_cast<double>(rig::percentile(t.latencies, 0.5)) * 1e-3,
+                static_cast<double>(rig::percentile(t.latencies, 0.9)) * 1e-3,
                 static_cast<double>(rig::percentile(t.latencies, 0.99)) * 1e-3);
   }
-  std::printf("final answers %llu, doubled %llu, in %.2f s: %.0f messages a second; served p50 %.2f ms, p99 %.2f ms\n",
-              static_cast<unsigned long long>(answers), static_cast<unsigned long long>(client.doubled()), took,
-              static_cast<double>(client.answered()) / took, static_cast<double>(rig::percentile(all, 0.5)) * 1e-3,
-              static_cast<double>(rig::percentile(all, 0.99)) * 1e-3);
+  std::printf(
+      "final answers %llu, doubled %llu, in %.2f s: %.0f messages a second; served p50 %.2f ms, p99 %.2f "
+      "ms\n",
+      static_cast<unsigned long long>(answers), static_cast<unsigned long long>(client.doubled()), took,
+      static_cast<double>(client.answered()) / took, static_cast<double>(rig::percentile(all, 0.5)) * 1e-3,
+      static_cast<double>(rig::percentile(all, 0.99)) * 1e-3);
   return client.doubled() == 0 && bad == 0 ? Exit::ok : Exit::failed;
 }
 
@@ -96,11 +99,15 @@
   auto* command = app.add_subcommand("send", "push messages and table their answers");
   auto o = std::make_shared<Options>();
   command->add_option("--to", o->to, "addresses of relays (or of endpoints with --direct)")->required();
-  command->add_option("--destinations", o->destinations, "names, by commas; the first get the most")->required();
-  command->add_option("--mix", o->mix, "classes by commas: NAME:EFFECT:SHARE:DEADLINE_S[:ordered]")->capture_default_str();
+  command->add_option("--destinations", o->destinations, "names, by commas; the first get the most")
+      ->required();
+  command->add_option("--mix", o->mix, "classes by commas: NAME:EFFECT:SHARE:DEADLINE_S[:ordered]")
+      ->capture_default_str();
   command->add_option("--count", o->count, "messages in all")->capture_default_str();
-  command->add_option("--rate", o->rate, "messages a second; 0: as fast as answers come")->capture_default_str();
-  command->add_option("--outstanding", o->outstanding, "messages without an answer at most")->capture_default_str();
+  command->add_option("--rate", o->rate, "messages a second; 0: as fast as answers come")
+      ->capture_default_str();
+  command->add_option("--outstanding", o->outstanding, "messages without an answer at most")
+      ->capture_default_str();
   command->add_option("--connections", o->connections, "connections to each target")->capture_default_str();
   command->add_option("--retries", o->retries, "of refused messages")->capture_default_str();
   command->add_option("--body", o->body, "bytes of each")->capture_default_str();
@@ -110,9 +117,7 @@
   command->add_option("--tenant-field", o->tenant_field, "field that names them")->capture_default_str();
   command->add_flag("--direct", o->direct, "straight to endpoints, for comparison");
   command->add_flag("--quiet", o->quiet, "no progress line");
-  command->callback([o, &run] {
-    run = [o] { return run_send(*o); };
-  });
+  command->callback([o, &run] { run = [o] { return run_send(*o); }; });
 }
 
 }  // namespace cedarplank::app
--- a/app/standin.cpp
+++ b/app/standin.cpp
@@ -23,8 +23,8 @@
   const auto effect = [&](const standin::Effect& e) {
     count++;
     if (effects.is_open())
-      effects << e.at << ' ' << e.endpoint << ' ' << e.destination << ' ' << (e.message.empty() ? "-" : e.message) << ' '
-              << (e.key.empty() ? "-" : e.key) << std::endl;
+      effects << e.at << ' ' << e.endpoint << ' ' << e.destination << ' '
+              << (e.message.empty() ? "-" : e.message) << ' ' << (e.key.empty() ? "-" : e.key) << std::endl;
   };
   std::vector<std::unique_ptr<standin::Destination>> all;
   std::uint64_t seed = settings.seed;
@@ -48,9 +48,11 @@
   if (!settings.partners_file.empty()) {
     config::Names names;
     for (const auto& d : settings.destinations) {
-      if (!d.kind.empty() && std::find(names.kinds.begin(), names.kinds.end(), d.kind) == names.kinds.end()) names.kinds.push_back(d.kind);
+      if (!d.kind.empty() && std::find(names.kinds.begin(), names.kinds.end(), d.kind) == names.kinds.end())
+        names.kinds.push_back(d.kind);
       for (const auto& z : d.zones)
-        if (!z.empty() && std::find(names.zones.begin(), names.zones.end(), z) == names.zones.end()) names.zones.push_back(z);
+        if (!z.empty() && std::find(names.zones.begin(), names.zones.end(), z) == names.zones.end())
+          names.zones.push_back(z);
     }
     std::ofstream out(settings.partners_file + ".next", std::ios::trunc);
     out << config::write_partners(standin::partner_list(settings.destinations, all, names, 1), names);
@@ -80,9 +82,7 @@
   auto* command = app.add_subcommand("standin", "serve stand-in push gateways");
   auto config = std::make_shared<std::string>();
   command->add_option("--config", *config, "settings of the stand-ins (YAML)")->required();
-  command->callback([config, &run] {
-    run = [config] { return run_standin(*config); };
-  });
+  command->callback([config, &run] { run = [config] { return run_standin(*config); }; });
 }
 
 }  // namespace cedarplank::app
--- a/bench/delivery_bench.cpp
+++ b/bench/delivery_bench.cpp
@@ -1,5 +1,5 @@
-// Hand-over between threads: submissions a second by 1 to 64 threads through the lock-free queue and through a mutex
-// and a deque, with coalesced wake-ups; and the bytes of a held message.
+// Hand-over between threads: submissions a second by 1 to 64 threads through the lock-free queue and through
+// a mutex and a deque, with coalesced wake-ups; and the bytes of a held message.
 #include <benchmark/benchmark.h>
 #include <concurrentqueue/concurrentqueue.h>
 #include <malloc.h>
@@ -77,9 +77,16 @@
     for (auto& h : hosts) h.join();
   }
   state.SetItemsProcessed(state.iterations() * threads * kEach);
-  state.counters["per_wake"] = static_cast<double>(state.iterations()) * threads * kEach / static_cast<double>(wakes);
+  state.counters["per_wake"] =
+      static_cast<double>(state.iterations()) * threads * kEach / static_cast<double>(wakes);
 }
-BENCHMARK(hand_over<LockFree>)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->UseRealTime()->Unit(benchmark::kMillisecond);
+BENCHMARK(hand_over<LockFree>)
+    ->Arg(1)
+    ->Arg(4)
+    ->Arg(16)
+    ->Arg(64)
+    ->UseRealTime()
+    ->Unit(benchmark::kMillisecond);
 BENCHMARK(hand_over<Locked>)->Arg(1)->Arg(4)->Arg(16)->Arg(64)->UseRealTime()->Unit(benchmark::kMillisecond);
 
 // From post() on another thread until the loop runs it, there and back.
@@ -95,8 +102,8 @@
 }
 BENCHMARK(wake_up)->UseRealTime();
 
-// From submit() to the callback of a message that is answered without a call (it names no destination): the hand-over
-// both ways, with threads of the engine's own and on the host's.
+// From submit() to the callback of a message that is answered without a call (it names no destination): the
+// hand-over both ways, with threads of the engine's own and on the host's.
 void answer(benchmark::State& state) {
   const auto folder = std::filesystem::temp_directory_path() / "cedarplank-bench";
   std::filesystem::create_directories(folder);
@@ -104,13 +111,16 @@
   delivery::Options o;
   const bool host = state.range(0) != 0;
   if (host) o.threading = delivery::Options::Threading::host;
-  const auto engine = delivery::Engine::open_text((folder / "relay.yaml").string(),
-                                                  "relay: {listen: \"127.0.0.1:0\"}\npartners: {file: partners.yaml}\nclasses: [{name: c}]\n", std::move(o));
+  const auto engine = delivery::Engine::open_text(
+      (folder / "relay.yaml").string(),
+      "relay: {listen: \"127.0.0.1:0\"}\npartners: {file: partners.yaml}\nclasses: [{name: c}]\n",
+      std::move(o));
   for (auto _ : state) {
     std::atomic<bool> done{false};
     delivery::Message m;
     m.destination = "none", m.message_class = "c";
-    if (engine->submit(std::move(m), [&](const delivery::Answer&) { done = true; }).status != delivery::Submitted::taken)
+    if (engine->submit(std::move(m), [&](const delivery::Answer&) { done = true; }).status !=
+        delivery::Submitted::taken)
       return state.SkipWithError("not taken");
     while (!done)
       if (host) engine->run_once(-1);
@@ -118,7 +128,12 @@
 }
 BENCHMARK(answer)->ArgName("host")->Arg(0)->Arg(1)->UseRealTime();
 
-struct Nothing final : relay::Transport, relay::Answers, relay::ListSource, relay::Notes, relay::Log, relay::Decider {
+struct Nothing final : relay::Transport,
+                       relay::Answers,
+                       relay::ListSource,
+                       relay::Notes,
+                       relay::Log,
+                       relay::Decider {
   void send(const relay::CallOrder&) override {}
   Recalled cancel(relay::CallId) override { return Recalled::sent; }
   std::vector<relay::CallId> recall(const EndpointId&) override { return {}; }
--- a/bench/http2_bench.cpp
+++ b/bench/http2_bench.cpp
@@ -53,7 +53,8 @@
         if (n < 0) return state.SkipWithError("inflate");
         at += n, left -= static_cast<std::size_t>(n);
         if (flags & NGHTTP2_HD_INFLATE_EMIT)
-          out.push_back({std::string(reinterpret_cast<char*>(nv.name), nv.namelen), std::string(reinterpret_cast<char*>(nv.value), nv.valuelen)});
+          out.push_back({std::string(reinterpret_cast<char*>(nv.name), nv.namelen),
+                         std::string(reinterpret_cast<char*>(nv.value), nv.valuelen)});
         if (flags & NGHTTP2_HD_INFLATE_FINAL) break;
       }
       nghttp2_hd_inflate_end_headers(inflater);
@@ -87,8 +88,10 @@
       std::vector<nghttp2_nv> list;
       for (const auto& h : headers)
         list.push_back({reinterpret_cast<std::uint8_t*>(const_cast<char*>(h.name.data())),
-                        reinterpret_cast<std::uint8_t*>(const_cast<char*>(h.value.data())), h.name.size(), h.value.size(), 0});
-      bytes += static_cast<std::size_t>(nghttp2_hd_deflate_hd(deflater, reinterpret_cast<std::uint8_t*>(buffer.data()), buffer.size(), list.data(), list.size()));
+                        reinterpret_cast<std::uint8_t*>(const_cast<char*>(h.value.data())), h.name.size(),
+                        h.value.size(), 0});
+      bytes += static_cast<std::size_t>(nghttp2_hd_deflate_hd(
+          deflater, reinterpret_cast<std::uint8_t*>(buffer.data()), buffer.size(), list.data(), list.size()));
     }
     nghttp2_hd_deflate_del(deflater);
     state.counters["bytes"] = static_cast<double>(bytes);
@@ -142,18 +145,22 @@
     nghttp2_session_callbacks* cb;
     nghttp2_session_callbacks_new(&cb);
     nghttp2_session_callbacks_set_on_header_callback(
-        cb, [](nghttp2_session*, const nghttp2_frame*, const std::uint8_t* n, std::size_t nl, const std::uint8_t* v, std::size_t vl, std::uint8_t, void* s) {
-          static_cast<Seen*>(s)->headers.push_back({std::string(reinterpret_cast<const char*>(n), nl), std::string(reinterpret_cast<const char*>(v), vl)});
+        cb, [](nghttp2_session*, const nghttp2_frame*, const std::uint8_t* n, std::size_t nl,
+               const std::uint8_t* v, std::size_t vl, std::uint8_t, void* s) {
+          static_cast<Seen*>(s)->headers.push_back({std::string(reinterpret_cast<const char*>(n), nl),
+                                                    std::string(reinterpret_cast<const char*>(v), vl)});
           return 0;
         });
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(cb, [](nghttp2_session*, std::uint8_t, std::int32_t, const std::uint8_t* d, std::size_t n, void* s) {
-      static_cast<Seen*>(s)->data.assign(reinterpret_cast<const char*>(d), n);
-      return 0;
-    });
-    nghttp2_session_callbacks_set_on_frame_recv_callback(cb, [](nghttp2_session*, const nghttp2_frame*, void* s) {
-      static_cast<Seen*>(s)->headers.clear();
-      return 0;
-    });
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        cb, [](nghttp2_session*, std::uint8_t, std::int32_t, const std::uint8_t* d, std::size_t n, void* s) {
+          static_cast<Seen*>(s)->data.assign(reinterpret_cast<const char*>(d), n);
+          return 0;
+        });
+    nghttp2_session_callbacks_set_on_frame_recv_callback(cb,
+                                                         [](nghttp2_session*, const nghttp2_frame*, void* s) {
+                                                           static_cast<Seen*>(s)->headers.clear();
+                                                           return 0;
+                                                         });
     nghttp2_option* option;
     nghttp2_option_new(&option);
     nghttp2_option_set_stream_reset_rate_limit(option, 1'000'000, 1'000'000);
@@ -162,7 +169,8 @@
     nghttp2_submit_settings(session, 0, nullptr, 0);
     for (std::size_t at = 0; at < bytes.size(); at += 16'384) {
       const auto n = std::min<std::size_t>(16'384, bytes.size() - at);
-      if (nghttp2_session_mem_recv(session, reinterpret_cast<const std::uint8_t*>(bytes.data()) + at, n) != static_cast<ssize_t>(n))
+      if (nghttp2_session_mem_recv(session, reinterpret_cast<const std::uint8_t*>(bytes.data()) + at, n) !=
+          static_cast<ssize_t>(n))
         return state.SkipWithError("recv");
       const std::uint8_t* out;
       while (nghttp2_session_mem_send(session, &out) > 0) {
--- a/bench/loop_bench.cpp
+++ b/bench/loop_bench.cpp
@@ -76,8 +76,8 @@
       if (write(pipes[next].second, "x", 1) != 1) return state.SkipWithError("write");
     loop.run_once(0);
   }
-  state.counters["per_event_ns"] =
-      benchmark::Counter(static_cast<double>(seen) * 1e-9, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+  state.counters["per_event_ns"] = benchmark::Counter(
+      static_cast<double>(seen) * 1e-9, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
   for (const auto& [a, b] : pipes) close(a), close(b);
 }
 BENCHMARK(event_among)->ArgsProduct({{10, 100, 1'000, 5'000}, {0, 1}});
--- a/examples/hosts/batch.cpp
+++ b/examples/hosts/batch.cpp
@@ -12,7 +12,8 @@
   const int count = argc > 4 ? std::atoi(argv[4]) : 5000, threads = 4;
   try {
     Options options;
-    options.held_max = 1'000;  // well below open_max: the module hands messages back when its buffer is nearly full
+    options.held_max =
+        1'000;  // well below open_max: the module hands messages back when its buffer is nearly full
     const auto engine = Engine::open(argv[1], std::move(options));
     std::atomic<int> served{0}, other{0};
     std::vector<std::thread> workers;
@@ -23,7 +24,9 @@
           m.destination = argv[2], m.message_class = argv[3];
           m.body = "id=b" + std::to_string(i) + ";", m.idempotency_key = m.body;
           // Back-pressure: waits for room, at most half a minute.
-          const auto s = engine->submit_for(std::move(m), 30'000'000, [&](const Answer& a) { (a.final == Final::served ? served : other)++; });
+          const auto s = engine->submit_for(std::move(m), 30'000'000, [&](const Answer& a) {
+            (a.final == Final::served ? served : other)++;
+          });
           if (s.status != Submitted::taken) other++;
         }
       });
--- a/examples/hosts/own_loop.cpp
+++ b/examples/hosts/own_loop.cpp
@@ -20,7 +20,8 @@
         Message m;
         m.destination = argv[2], m.message_class = argv[3];
         m.body = "id=o" + std::to_string(submitted) + ";", m.idempotency_key = m.body;
-        const auto s = engine->submit(std::move(m), [&](const Answer& a) { (a.final == Final::served ? served : other)++; });
+        const auto s = engine->submit(
+            std::move(m), [&](const Answer& a) { (a.final == Final::served ? served : other)++; });
         if (s.status == Submitted::would_block) break;
         if (s.status != Submitted::taken) return std::fprintf(stderr, "%s\n", s.error.c_str()), 1;
       }
--- a/fuzz/hpack_fuzz.cpp
+++ b/fuzz/hpack_fuzz.cpp
@@ -28,6 +28,7 @@
   huffman_decode({reinterpret_cast<const char*>(data), size}, plain);
   std::string coded, round;
   huffman_encode({reinterpret_cast<const char*>(data), size}, coded);
-  if (!huffman_decode(coded, round) || round != std::string(reinterpret_cast<const char*>(data), size)) std::abort();
+  if (!huffman_decode(coded, round) || round != std::string(reinterpret_cast<const char*>(data), size))
+    std::abort();
   return 0;
 }
--- a/fuzz/http2_fuzz.cpp
+++ b/fuzz/http2_fuzz.cpp
@@ -15,19 +15,22 @@
   Connection c(as_server ? Role::server : Role::client);
   if (!as_server)
     for (int i = 0; i < 3; i++)
-      c.request({{":method", "POST"}, {":scheme", "http"}, {":authority", "a"}, {":path", "/"}}, i == 1 ? std::string(100'000, 'x') : "y");
+      c.request({{":method", "POST"}, {":scheme", "http"}, {":authority", "a"}, {":path", "/"}},
+                i == 1 ? std::string(100'000, 'x') : "y");
   std::vector<Event> events;
   std::int64_t now = 1;
   for (std::size_t at = 0; at < bytes.size(); at += piece) {
     events.clear();
     c.receive(now += 1000, std::string_view(bytes).substr(at, piece), events);
     for (auto& e : events)
-      if (as_server && e.end_stream) c.respond(e.stream, {{":status", "201"}}, e.stream % 4 == 1 ? "body" : "");
+      if (as_server && e.end_stream)
+        c.respond(e.stream, {{":status", "201"}}, e.stream % 4 == 1 ? "body" : "");
     if (c.output_size() > (1 << 22)) c.take_output();
     if (c.failed() && c.streams() != 0) std::abort();
   }
   c.take_output();
-  cedarplank::record::Tap tap(cedarplank::record::Record::Side::client, "p", 1, !as_server, [](cedarplank::record::Record&&) {});
+  cedarplank::record::Tap tap(cedarplank::record::Record::Side::client, "p", 1, !as_server,
+                              [](cedarplank::record::Record&&) {});
   tap.pass(1, false, bytes);
   return 0;
 }
--- a/include/cedarplank/delivery.h
+++ b/include/cedarplank/delivery.h
@@ -1,9 +1,9 @@
-/* cedarplank: the delivery engine for C. A thin layer over cedarplank/delivery.hpp with a stable ABI: structures only
- * grow at their end, and carry their size, so that older callers go on working.
+/* cedarplank: the delivery engine for C. A thin layer over cedarplank/delivery.hpp with a stable ABI:
+ * structures only grow at their end, and carry their size, so that older callers go on working.
  *
- * Ownership: strings passed in are copied; strings of an answer belong to the caller's cp_answer until the next
- * cp_poll() with the same structure or cp_answer_free(). Threads: every call from any thread; cp_close() once.
- * Units: times in microseconds. */
+ * Ownership: strings passed in are copied; strings of an answer belong to the caller's cp_answer until the
+ * next cp_poll() with the same structure or cp_answer_free(). Threads: every call from any thread; cp_close()
+ * once. Units: times in microseconds. */
 #ifndef CEDARPLANK_DELIVERY_H
 #define CEDARPLANK_DELIVERY_H
 
--- a/include/cedarplank/delivery.hpp
+++ b/include/cedarplank/delivery.hpp
@@ -1,7 +1,9 @@
-// cedarplank::delivery: the delivery engine, linked into a host process. `cedarplank relay` is a shell around it.
+// cedarplank::delivery: the delivery engine, linked into a host process. `cedarplank relay` is a shell around
+// it.
 //
-// Ownership: the Engine owns everything it makes; messages are moved in, answers copied out. Destroying it stops it.
-// Threads: every call but run_once() may come from any thread at any time. No signal handlers, no global state, nothing
+// Ownership: the Engine owns everything it makes; messages are moved in, answers copied out. Destroying it
+// stops it. Threads: every call but run_once() may come from any thread at any time. No signal handlers, no
+// global state, nothing
 //   on standard streams; several engines in one process share nothing.
 // Errors: open() throws; nothing else does. Exceptions out of callbacks are caught, counted and logged.
 // Units: times in microseconds, sizes in bytes.
@@ -44,8 +46,8 @@
   std::string detail;  // how the last attempt ended, or why it was rejected
 };
 
-// Each ticket is answered exactly once, on the engine's answer thread (or in run_once()). May submit, withdraw, stop and
-// destroy the engine. One that blocks delays later answers, not deliveries.
+// Each ticket is answered exactly once, on the engine's answer thread (or in run_once()). May submit,
+// withdraw, stop and destroy the engine. One that blocks delays later answers, not deliveries.
 using Callback = std::function<void(const Answer&)>;
 
 enum class Submitted {
@@ -69,11 +71,12 @@
 };
 struct Snapshot {
   State state = State::opening;
-  std::size_t held = 0;         // submitted and not answered
+  std::size_t held = 0;              // submitted and not answered
   std::size_t held_for_clients = 0;  // of those that came over HTTP/2, where it serves
-  std::size_t unread = 0;       // answered into the completion queue and not polled
-  std::uint64_t submitted = 0, served = 0, refused = 0, failed = 0, withdrawn = 0, rejected = 0, callback_errors = 0;
-  std::vector<Held> oldest;     // at most so many as asked for
+  std::size_t unread = 0;            // answered into the completion queue and not polled
+  std::uint64_t submitted = 0, served = 0, refused = 0, failed = 0, withdrawn = 0, rejected = 0,
+                callback_errors = 0;
+  std::vector<Held> oldest;  // at most so many as asked for
 };
 
 struct Options {
@@ -81,7 +84,8 @@
   Threading threading = Threading::own;  // host: only run_once() does work
   std::size_t held_max = 0;              // submitted and unread together; 0: the settings' open_max
   bool serve = false;                    // also listen for HTTP/2 clients, as the settings say
-  std::function<void(const char* event, const std::string& text)> log;  // called on the engine's thread; may be empty
+  std::function<void(const char* event, const std::string& text)>
+      log;  // called on the engine's thread; may be empty
 };
 
 class Engine {
@@ -89,7 +93,8 @@
   // Throws std::runtime_error naming file, line and key, or std::system_error.
   static std::unique_ptr<Engine> open(const std::string& settings_file, Options options = {});
   // The same from text (YAML); relative names are taken from the folder of `name`.
-  static std::unique_ptr<Engine> open_text(const std::string& name, const std::string& settings, Options options = {});
+  static std::unique_ptr<Engine> open_text(const std::string& name, const std::string& settings,
+                                           Options options = {});
 
   // Stops and waits until every held message was answered; from inside a callback it does not wait.
   ~Engine();
@@ -122,7 +127,8 @@
   // Until stopped, at most `within`; true where it is. Not from a callback.
   bool wait(Time within);
 
-  // Takes over what may change in service. Returns what may not change and did, one line each; then nothing changes.
+  // Takes over what may change in service. Returns what may not change and did, one line each; then nothing
+  // changes.
   std::vector<std::string> reload(const std::string& settings_file);
 
   // Threading::host: does what is due, waits at most `most_wait` for more (0: not at all).
--- a/rig/checker.cpp
+++ b/rig/checker.cpp
@@ -31,7 +31,7 @@
   std::string endpoint, relay, message;
   std::uint64_t connection = 0;
   std::uint32_t stream = 0;
-  Time at = 0;             // its HEADERS
+  Time at = 0;  // its HEADERS
   Time answered_at = kNever, given_up_at = kNever, closed_at = kNever;
   std::string status;
   Time told_wait = 0;
@@ -65,13 +65,15 @@
   Verdict verdict;
 
   Checker(const Facts& f, const std::vector<standin::Effect>& e) : facts(f), effects(e) {
-    const char* names[] = {"1 one final answer", "2 no effect twice", "3 drains kept", "4 no push over", "5 order kept", "6 waits kept"};
+    const char* names[] = {"1 one final answer", "2 no effect twice", "3 drains kept",
+                           "4 no push over",     "5 order kept",      "6 waits kept"};
     for (int i = 0; i < 6; i++) verdict.rules[i].name = names[i];
   }
 
   void read(const std::vector<Record>& records);
   void read_client(const Record& r, std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t>& streams);
-  void read_endpoint(const Record& r, std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>& streams);
+  void read_endpoint(const Record& r,
+                     std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>& streams);
 
   void broken(int rule, std::string what) { verdict.rules[rule - 1].broken.push_back(std::move(what)); }
   std::uint64_t& checked(int rule) { return verdict.rules[rule - 1].checked; }
@@ -108,7 +110,8 @@
   void waits();
 };
 
-void Checker::read_client(const Record& r, std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t>& streams) {
+void Checker::read_client(const Record& r,
+                          std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t>& streams) {
   const auto key = std::pair(r.connection, r.stream);
   if (r.what == "HEADERS" && r.sent) {
     Try t;
@@ -122,7 +125,8 @@
     return;
   }
   if (r.what == "CLOSE" || r.what == "GOAWAY") {
-    for (auto it = streams.lower_bound({r.connection, 0}); it != streams.end() && it->first.first == r.connection; ++it) {
+    for (auto it = streams.lower_bound({r.connection, 0});
+         it != streams.end() && it->first.first == r.connection; ++it) {
       Try& t = tries[it->second];
       if (r.what == "CLOSE")
         t.closed_at = std::min(t.closed_at, r.at);
@@ -150,18 +154,21 @@
   }
 }
 
-void Checker::read_endpoint(const Record& r, std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>& streams) {
+void Checker::read_endpoint(
+    const Record& r, std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>& streams) {
   const auto key = std::tuple(r.place, r.connection, r.stream);
   if (r.what == "HEADERS" && !r.sent) {
     Call c;
-    c.endpoint = r.place, c.connection = r.connection, c.stream = r.stream, c.at = r.at, c.relay = relay_of(r);
+    c.endpoint = r.place, c.connection = r.connection, c.stream = r.stream, c.at = r.at,
+    c.relay = relay_of(r);
     streams[key] = calls.size();
     calls.push_back(std::move(c));
     return;
   }
   if (r.what == "CLOSE" || r.what == "GOAWAY") {
     for (auto it = streams.lower_bound({r.place, r.connection, 0});
-         it != streams.end() && std::get<0>(it->first) == r.place && std::get<1>(it->first) == r.connection; ++it) {
+         it != streams.end() && std::get<0>(it->first) == r.place && std::get<1>(it->first) == r.connection;
+         ++it) {
       Call& c = calls[it->second];
       if (r.what == "CLOSE") {
         c.closed_at = std::min(c.closed_at, r.at);
@@ -210,14 +217,15 @@
     if (cls == facts.classes.end()) continue;
     checked(1)++;
     if (t.answers > 1) broken(1, fmt::format("{} at {}: {} final answers", t.message, t.relay, t.answers));
-    const Time deadline = t.whole_at + std::min(t.ttl, cls->second.deadline) + facts.answer_slack + facts.slack;
+    const Time deadline =
+        t.whole_at + std::min(t.ttl, cls->second.deadline) + facts.answer_slack + facts.slack;
     const Time due = past_stalls(t.relay, deadline);
     const Time end = std::min({t.answered_at, t.reset_at});
     // Also what was pushed at a relay that had just been killed, before its client noticed: never taken.
     if (end > due && !died_between(t.relay, t.sent_at - facts.slack, due)) {
-      broken(1, t.answered_at == kNever
-                    ? fmt::format("{} at {}: no final answer", t.message, t.relay)
-                    : fmt::format("{} at {}: answered {} ms late", t.message, t.relay, (t.answered_at - due) / 1000));
+      broken(1, t.answered_at == kNever ? fmt::format("{} at {}: no final answer", t.message, t.relay)
+                                        : fmt::format("{} at {}: answered {} ms late", t.message, t.relay,
+                                                      (t.answered_at - due) / 1000));
     }
     if (end == kNever) continue;
     const auto sent = calls_of.find(t.message);
@@ -225,7 +233,8 @@
     for (const auto i : sent->second) {
       const Call& c = calls[i];
       if (c.relay == t.relay && c.at > past_stalls(t.relay, end + facts.slack))
-        broken(1, fmt::format("{} sent to {} {} ms after its end", t.message, c.endpoint, (c.at - end) / 1000));
+        broken(1,
+               fmt::format("{} sent to {} {} ms after its end", t.message, c.endpoint, (c.at - end) / 1000));
     }
   }
 }
@@ -256,7 +265,8 @@
     for (std::size_t n = 1; n < sent->second.size(); n++) {
       const Call &before = calls[sent->second[n - 1]], &c = calls[sent->second[n]];
       if (!before.proved_unrun || before.proved_at > c.at)
-        broken(2, fmt::format("{} sent again to {} without proof that {} had not run it", t.message, c.endpoint, before.endpoint));
+        broken(2, fmt::format("{} sent again to {} without proof that {} had not run it", t.message,
+                              c.endpoint, before.endpoint));
     }
   }
 }
@@ -274,7 +284,8 @@
     checked(3)++;
     const Time last = past_stalls(c.relay, it->second + facts.reread) + facts.drain_grace + facts.slack;
     if (c.at > last)
-      broken(3, fmt::format("{} sent {} to {} {} ms after the last moment", c.relay, c.message, c.endpoint, (c.at - last) / 1000));
+      broken(3, fmt::format("{} sent {} to {} {} ms after the last moment", c.relay, c.message, c.endpoint,
+                            (c.at - last) / 1000));
   }
 }
 
@@ -290,24 +301,32 @@
       // A relay knows if a call failed there, or if a try for the destination waited there without success.
       std::set<std::string> knowing;
       for (const auto* c : all)
-        if (c->at <= to && c->over_at() >= from && !(c->status[0] == '2' && c->answered_at < to)) knowing.insert(c->relay);
+        if (c->at <= to && c->over_at() >= from && !(c->status[0] == '2' && c->answered_at < to))
+          knowing.insert(c->relay);
       for (const auto& t : tries)
-        if (t.destination == name && t.sent_at < to - 2 * facts.slack && t.sent_at > from && t.status != "201") knowing.insert(t.relay);
+        if (t.destination == name && t.sent_at < to - 2 * facts.slack && t.sent_at > from &&
+            t.status != "201")
+          knowing.insert(t.relay);
       std::vector<const Call*> window;
       for (const auto* c : all) {
         if (c->at <= to || c->at > to + place.cold) continue;
         window.push_back(c);
         while (window.front()->at <= c->at - place.overload_for) window.erase(window.begin());
         const auto warm_at = [&](Time t) {
-          return place.cold_from + (1 - place.cold_from) * static_cast<double>(std::max(t, to) - to) / static_cast<double>(place.cold);
+          return place.cold_from + (1 - place.cold_from) * static_cast<double>(std::max(t, to) - to) /
+                                       static_cast<double>(place.cold);
         };
         const double warm = (warm_at(c->at - place.overload_for) + warm_at(c->at)) / 2;
-        const double budget = standin::push_budget(place.fall_multiple, place.capacity * warm, place.overload_for);
+        const double budget =
+            standin::push_budget(place.fall_multiple, place.capacity * warm, place.overload_for);
         if (static_cast<double>(window.size()) <= budget) continue;
-        const auto known = std::count_if(window.begin(), window.end(), [&](const Call* w) { return knowing.count(w->relay) > 0; });
+        const auto known = std::count_if(window.begin(), window.end(),
+                                         [&](const Call* w) { return knowing.count(w->relay) > 0; });
         if (3 * static_cast<std::size_t>(known) < 2 * window.size()) continue;
-        broken(4, fmt::format("{}: {} calls in {} ms, {:.0f} allowed, {} of them by relays that knew; {} ms after its return", name,
-                              window.size(), place.overload_for / 1000, budget, known, (c->at - to) / 1000));
+        broken(4, fmt::format("{}: {} calls in {} ms, {:.0f} allowed, {} of them by relays that knew; {} ms "
+                              "after its return",
+                              name, window.size(), place.overload_for / 1000, budget, known,
+                              (c->at - to) / 1000));
         break;
       }
     }
@@ -324,7 +343,8 @@
   }
   for (auto& [name, line] : lines) {
     // Stable: of two written at once the one on the earlier stream came first.
-    std::stable_sort(line.begin(), line.end(), [](const Try* a, const Try* b) { return a->whole_at < b->whole_at; });
+    std::stable_sort(line.begin(), line.end(),
+                     [](const Try* a, const Try* b) { return a->whole_at < b->whole_at; });
     for (std::size_t j = 1; j < line.size(); j++) {
       const Try& later = *line[j];
       const auto sent = calls_of.find(later.message);
@@ -343,16 +363,22 @@
             const Call& c = calls[n];
             if (c.relay != name.first) continue;
             const bool doubt = c.answered_at == kNever && !c.proved_unrun;
-            const Time rests = c.over_at() == kNever ? kNever : c.over_at() + (doubt ? facts.settle_after_doubt - facts.slack : 0);
+            const Time rests = c.over_at() == kNever
+                                   ? kNever
+                                   : c.over_at() + (doubt ? facts.settle_after_doubt - facts.slack : 0);
             if (c.at > first || rests > first) {
-              broken(5, fmt::format("{}: {} sent while {} of the same key {}", name.first, later.message, earlier.message,
-                                    c.at > first ? "had yet to go" : doubt ? "was in doubt" : "was out"));
+              broken(5, fmt::format("{}: {} sent while {} of the same key {}", name.first, later.message,
+                                    earlier.message,
+                                    c.at > first ? "had yet to go"
+                                    : doubt      ? "was in doubt"
+                                                 : "was out"));
               break;
             }
           }
         }
         if (end > first + facts.slack)
-          broken(5, fmt::format("{}: {} sent before {} of the same key was over", name.first, later.message, earlier.message));
+          broken(5, fmt::format("{}: {} sent before {} of the same key was over", name.first, later.message,
+                                earlier.message));
       }
     }
   }
@@ -366,20 +392,24 @@
     for (const auto* told : all) {
       if (told->told_wait <= 0 || told->given_up_at < told->answered_at) continue;
       checked(6)++;
-      const Time from = past_stalls(name.first, told->answered_at) + facts.slack, to = told->answered_at + told->told_wait;
-      const auto first = std::upper_bound(all.begin(), all.end(), from, [](Time t, const Call* c) { return t < c->at; });
+      const Time from = past_stalls(name.first, told->answered_at) + facts.slack,
+                 to = told->answered_at + told->told_wait;
+      const auto first =
+          std::upper_bound(all.begin(), all.end(), from, [](Time t, const Call* c) { return t < c->at; });
       if (first == all.end() || (*first)->at >= to) continue;
       if (died_between(name.first, told->answered_at, (*first)->at)) continue;
-      broken(6, fmt::format("{} sent {} to {} {} ms before the end of a told wait", name.first, (*first)->message, (*first)->endpoint,
-                            (to - (*first)->at) / 1000));
+      broken(6, fmt::format("{} sent {} to {} {} ms before the end of a told wait", name.first,
+                            (*first)->message, (*first)->endpoint, (to - (*first)->at) / 1000));
     }
   }
 }
 
 }  // namespace
 
-Verdict check_rules(const Facts& facts, std::vector<Record> records, const std::vector<standin::Effect>& effects) {
-  std::stable_sort(records.begin(), records.end(), [](const Record& a, const Record& b) { return a.at < b.at; });
+Verdict check_rules(const Facts& facts, std::vector<Record> records,
+                    const std::vector<standin::Effect>& effects) {
+  std::stable_sort(records.begin(), records.end(),
+                   [](const Record& a, const Record& b) { return a.at < b.at; });
   Checker c(facts, effects);
   c.read(records);
   c.one_answer();
@@ -395,7 +425,8 @@
   std::string out = fmt::format("{:<22} {:>10} {:>8}\n", "rule", "checked", "broken");
   for (const auto& r : verdict.rules) {
     out += fmt::format("{:<22} {:>10} {:>8}\n", r.name, r.checked, r.broken.size());
-    for (std::size_t i = 0; i < std::min(cases_shown, r.broken.size()); i++) out += "    " + r.broken[i] + "\n";
+    for (std::size_t i = 0; i < std::min(cases_shown, r.broken.size()); i++)
+      out += "    " + r.broken[i] + "\n";
   }
   return out;
 }
--- a/rig/checker.hpp
+++ b/rig/checker.hpp
@@ -19,7 +19,7 @@
     Time deadline = 0;
     bool ordered = false;
   };
-  struct Place {  // a destination, or a route apart
+  struct Place {          // a destination, or a route apart
     double capacity = 0;  // calls a second when warm
     double cold_from = 0.2, fall_multiple = 2;
     Time cold = 0, overload_for = 0;
@@ -36,13 +36,13 @@
   std::map<std::string, Class> classes;
   std::map<std::string, std::string> place_of;  // endpoint to place
   std::map<std::string, Place> places;
-  std::map<std::string, bool> unseen_503;       // by endpoint
+  std::map<std::string, bool> unseen_503;  // by endpoint
   std::vector<Told> told;
   std::vector<Span> lives;   // of relays: a crash ends one
   std::vector<Span> stalls;  // a relay stood still
   Time reread = 500'000;     // how long a relay may take to read a new list
   Time drain_grace = 0, answer_slack = 0, settle_after_doubt = 0;
-  Time slack = 150'000;      // for what was on its way on the machine, and for its scheduling
+  Time slack = 150'000;  // for what was on its way on the machine, and for its scheduling
 };
 
 struct Verdict {
@@ -59,7 +59,8 @@
   }
 };
 
-Verdict check_rules(const Facts& facts, std::vector<record::Record> records, const std::vector<standin::Effect>& effects);
+Verdict check_rules(const Facts& facts, std::vector<record::Record> records,
+                    const std::vector<standin::Effect>& effects);
 std::string table_of(const Verdict& verdict, std::size_t cases_shown = 3);
 
 }  // namespace cedarplank::rig
--- a/rig/drill.cpp
+++ b/rig/drill.cpp
@@ -25,7 +25,8 @@
 
 class Drill {
  public:
-  Drill(const Scenario& scenario, const DrillOptions& options) : s_(scenario), options_(options), random_(scenario.seed * 31 + 7) {
+  Drill(const Scenario& scenario, const DrillOptions& options)
+      : s_(scenario), options_(options), random_(scenario.seed * 31 + 7) {
     template_ = config::load_relay_settings(s_.relay_file);
     if (options.keep.empty()) {
       std::string name = (fs::temp_directory_path() / "cedarplank-drill-XXXXXX").string();
@@ -83,7 +84,8 @@
   bool list_blocked_ = false, list_half_ = false;
   Time list_late_ = 0;
   Facts facts_;
-  std::vector<std::pair<std::string, Time>> pending_told_;  // changes of the list that no relay can have read yet
+  std::vector<std::pair<std::string, Time>>
+      pending_told_;  // changes of the list that no relay can have read yet
   std::map<std::string, Time> out_since_;
   std::map<std::string, int> out_count_;
   bool over_ = false;
@@ -97,9 +99,9 @@
   }
 }
 
-// A loopback address of its own for each listener, apart from those of other drills. Guards against a port that
-// another process is given while a stand-in is down or a relay is dead: sources of connections and listeners on
-// port 0 elsewhere are all on 127.0.0.1.
+// A loopback address of its own for each listener, apart from those of other drills. Guards against a port
+// that another process is given while a stand-in is down or a relay is dead: sources of connections and
+// listeners on port 0 elsewhere are all on 127.0.0.1.
 std::string Drill::own_address() {
   const int pid = getpid();
   return fmt::format("127.{}.{}.{}:0", 64 + (pid >> 8) % 64, pid % 256, std::min(next_host_++, 254));
@@ -111,7 +113,8 @@
   for (auto d : s_.destinations) {
     for (auto& e : d.settings.endpoints) e.address = own_address();
     standins_.push_back(std::make_unique<standin::Destination>(
-        loop_, d.settings, sink, [this](const standin::Effect& e) { effects_.push_back(e); }, ++seed * 104'729));
+        loop_, d.settings, sink, [this](const standin::Effect& e) { effects_.push_back(e); },
+        ++seed * 104'729));
   }
   list_ = standin::partner_list(s_.destinations, standins_, template_.names, 1);
   for (std::size_t d = 0; d < standins_.size(); d++) {
@@ -122,7 +125,8 @@
       auto& p = facts_.places[place];
       const auto& m = settings.place;
       p.capacity = static_cast<double>(m.servers) / (static_cast<double>(m.service) * 1e-6);
-      p.cold_from = m.cold_from, p.fall_multiple = m.fall_multiple, p.cold = m.cold, p.overload_for = m.overload_for;
+      p.cold_from = m.cold_from, p.fall_multiple = m.fall_multiple, p.cold = m.cold,
+      p.overload_for = m.overload_for;
     }
   }
 }
@@ -201,8 +205,10 @@
   fresh.connections_max = d.settings().endpoints.front().connections_max;
   const std::string address = d.add(fresh).address();
   facts_.place_of[fresh.id] = d.settings().routes_apart ? fresh.id : d.settings().name;
-  if (d.settings().routes_apart) facts_.places[fresh.id] = facts_.places[id], facts_.places[fresh.id].outages.clear();
-  const auto old = std::find_if(list_.endpoints.begin(), list_.endpoints.end(), [&](const auto& e) { return e.id == id; });
+  if (d.settings().routes_apart)
+    facts_.places[fresh.id] = facts_.places[id], facts_.places[fresh.id].outages.clear();
+  const auto old =
+      std::find_if(list_.endpoints.begin(), list_.endpoints.end(), [&](const auto& e) { return e.id == id; });
   if (old == list_.endpoints.end()) return;
   facts_.unseen_503[fresh.id] = facts_.unseen_503[id];
   config::PartnerEndpoint entry = *old;
@@ -227,7 +233,8 @@
     for (const auto& e : standins_[d]->endpoints()) {
       const bool named = std::find(t.on.begin(), t.on.end(), standins_[d]->settings().name) != t.on.end() ||
                          std::find(t.on.begin(), t.on.end(), e->id()) != t.on.end();
-      if (named && std::uniform_real_distribution<double>()(random_) < t.share) chosen.emplace_back(d, e->id());
+      if (named && std::uniform_real_distribution<double>()(random_) < t.share)
+        chosen.emplace_back(d, e->id());
     }
   for (std::size_t i = 0; i < chosen.size(); i++) {
     const Time after = t.lasts * static_cast<Time>(i) / static_cast<Time>(chosen.size());
@@ -250,7 +257,8 @@
       return client_->set_rate_times(t.times);
     case TroubleKind::hot: {
       const auto& all = s_.load.destinations;
-      return client_->set_hot(static_cast<int>(std::find(all.begin(), all.end(), t.on[0]) - all.begin()), t.share);
+      return client_->set_hot(static_cast<int>(std::find(all.begin(), all.end(), t.on[0]) - all.begin()),
+                              t.share);
     }
     case TroubleKind::deploy:
       return deploy(t);
@@ -358,7 +366,8 @@
       [&] {
         for (auto& r : relays_)
           if (!r.ready && !r.process->running())
-            throw std::runtime_error("drill: " + r.name + " did not start; see its log:\n" + config::read_file(folder_ + "/" + r.name + ".log"));
+            throw std::runtime_error("drill: " + r.name + " did not start; see its log:\n" +
+                                     config::read_file(folder_ + "/" + r.name + ".log"));
         return std::all_of(relays_.begin(), relays_.end(), [](const auto& r) { return r.ready; });
       },
       kStartWithin, "the relays did not start in time");
@@ -375,9 +384,11 @@
     std::size_t at = m.topic.empty() ? static_cast<std::size_t>(turn++) : std::hash<std::string>()(m.topic);
     for (std::size_t i = 0; i < up.size(); i++, at++)
       if (up[at % up.size()]) break;
-    return std::pair(at % up.size(), "/push/" + load.destinations[m.destination] + "/" + load.classes[m.cls].name);
+    return std::pair(at % up.size(),
+                     "/push/" + load.destinations[m.destination] + "/" + load.classes[m.cls].name);
   };
-  client_ = std::make_unique<LoadClient>(loop_, load, targets, router, [this](record::Record&& r) { records_.push_back(std::move(r)); });
+  client_ = std::make_unique<LoadClient>(loop_, load, targets, router,
+                                         [this](record::Record&& r) { records_.push_back(std::move(r)); });
   client_->start();
   const Time start = loop_.refresh();
   for (const auto& t : s_.troubles) {
@@ -388,8 +399,8 @@
   const auto progress = [&] {
     if (options_.quiet || loop_.now() < told + 5'000'000) return;
     told = loop_.now();
-    fmt::print(stderr, "{:>4} s: {} asked, {} answered, {} effects\n", (loop_.now() - start) / 1'000'000, client_->asked(),
-               client_->answered(), effects_.size());
+    fmt::print(stderr, "{:>4} s: {} asked, {} answered, {} effects\n", (loop_.now() - start) / 1'000'000,
+               client_->asked(), client_->answered(), effects_.size());
   };
   while (loop_.refresh() < start + s_.lasts) loop_.run_once(20'000), progress();
   client_->stop_asking();
@@ -418,7 +429,9 @@
   if (!options_.keep.empty()) {
     std::ofstream frames(folder_ + "/frames.jsonl"), effects(folder_ + "/effects.txt");
     for (const auto& r : records_) frames << record::to_json(r) << '\n';
-    for (const auto& e : effects_) effects << e.at << ' ' << e.endpoint << ' ' << e.destination << ' ' << e.message << ' ' << e.key << '\n';
+    for (const auto& e : effects_)
+      effects << e.at << ' ' << e.endpoint << ' ' << e.destination << ' ' << e.message << ' ' << e.key
+              << '\n';
   }
   result.verdict = check_rules(facts(), std::move(records_), effects_);
   return result;
@@ -427,23 +440,28 @@
 }  // namespace
 
 std::string DrillResult::table() const {
-  std::string out = fmt::format("{:<16} {:>7} {:>7} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>9} {:>9}\n", "class", "asked", "tries", "served", "refused",
-                                "failed", "bad", "lost", "reset", "p50 ms", "p99 ms");
+  std::string out =
+      fmt::format("{:<16} {:>7} {:>7} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>9} {:>9}\n", "class", "asked",
+                  "tries", "served", "refused", "failed", "bad", "lost", "reset", "p50 ms", "p99 ms");
   for (std::size_t i = 0; i < tallies.size(); i++) {
     auto t = tallies[i];
-    out += fmt::format("{:<16} {:>7} {:>7} {:>7.1f}% {:>7.1f}% {:>7.1f}% {:>6} {:>6} {:>6} {:>9.1f} {:>9.1f}\n", class_names[i], t.asked, t.tries,
-                       100.0 * static_cast<double>(t.served) / static_cast<double>(std::max<std::uint64_t>(1, t.asked)),
-                       100.0 * static_cast<double>(t.refused) / static_cast<double>(std::max<std::uint64_t>(1, t.asked)),
-                       100.0 * static_cast<double>(t.failed) / static_cast<double>(std::max<std::uint64_t>(1, t.asked)), t.bad, t.lost,
-                       t.reset, static_cast<double>(percentile(t.latencies, 0.5)) * 1e-3,
-                       static_cast<double>(percentile(t.latencies, 0.99)) * 1e-3);
+    out += fmt::format(
+        "{:<16} {:>7} {:>7} {:>7.1f}% {:>7.1f}% {:>7.1f}% {:>6} {:>6} {:>6} {:>9.1f} {:>9.1f}\n",
+        class_names[i], t.asked, t.tries,
+        100.0 * static_cast<double>(t.served) / static_cast<double>(std::max<std::uint64_t>(1, t.asked)),
+        100.0 * static_cast<double>(t.refused) / static_cast<double>(std::max<std::uint64_t>(1, t.asked)),
+        100.0 * static_cast<double>(t.failed) / static_cast<double>(std::max<std::uint64_t>(1, t.asked)),
+        t.bad, t.lost, t.reset, static_cast<double>(percentile(t.latencies, 0.5)) * 1e-3,
+        static_cast<double>(percentile(t.latencies, 0.99)) * 1e-3);
   }
   out += table_of(verdict);
-  out += fmt::format("effects {}, destinations fallen {}, without an answer {}, relays ended {}, {:.1f} s\n", effects, falls, unanswered,
-                     relays_ended_well ? "well" : "BADLY", took_s);
+  out += fmt::format("effects {}, destinations fallen {}, without an answer {}, relays ended {}, {:.1f} s\n",
+                     effects, falls, unanswered, relays_ended_well ? "well" : "BADLY", took_s);
   return out;
 }
 
-DrillResult run_drill(const Scenario& scenario, const DrillOptions& options) { return Drill(scenario, options).run(); }
+DrillResult run_drill(const Scenario& scenario, const DrillOptions& options) {
+  return Drill(scenario, options).run();
+}
 
 }  // namespace cedarplank::rig
--- a/rig/load.cpp
+++ b/rig/load.cpp
@@ -20,9 +20,16 @@
   return values[std::clamp<std::size_t>(i, 1, values.size()) - 1];
 }
 
-LoadClient::LoadClient(loop::Loop& loop, const LoadSettings& settings, std::vector<Target> targets, Router router, record::Sink sink)
-    : loop_(loop), settings_(settings), targets_(std::move(targets)), router_(std::move(router)), sink_(std::move(sink)),
-      random_(settings.seed), queues_(targets_.size()), tallies_(settings.classes.size()) {
+LoadClient::LoadClient(loop::Loop& loop, const LoadSettings& settings, std::vector<Target> targets,
+                       Router router, record::Sink sink)
+    : loop_(loop),
+      settings_(settings),
+      targets_(std::move(targets)),
+      router_(std::move(router)),
+      sink_(std::move(sink)),
+      random_(settings.seed),
+      queues_(targets_.size()),
+      tallies_(settings.classes.size()) {
   double sum = 0;
   for (std::size_t i = 0; i < settings_.destinations.size(); i++)
     weights_.push_back(sum += 1 / std::pow(static_cast<double>(i + 1), settings_.skew));
@@ -49,7 +56,9 @@
   const std::uint64_t id = l.id = next_link_++;
   l.h2 = std::make_unique<http2::Connection>(http2::Role::client);
   l.tap.reset();
-  if (sink_) l.tap = std::make_unique<record::Tap>(record::Record::Side::client, targets_[l.target].name, id, true, sink_);
+  if (sink_)
+    l.tap =
+        std::make_unique<record::Tap>(record::Record::Side::client, targets_[l.target].name, id, true, sink_);
   l.up = false;
   // The old stream may be the caller: it goes at the turn's end.
   if (l.stream) loop_.defer([old = std::shared_ptr<net::Stream>(std::move(l.stream))] {});
@@ -57,7 +66,8 @@
   handlers.connected = [this, index] { flush(links_[index]); };
   handlers.data = [this, index, id](std::string_view bytes) { receive(index, id, bytes); };
   handlers.closed = [this, index, id](const std::string&) { lost(index, id); };
-  l.stream = std::make_unique<net::TcpStream>(loop_, net::Address::parse(targets_[l.target].address), kConnectTimeout, std::move(handlers));
+  l.stream = std::make_unique<net::TcpStream>(loop_, net::Address::parse(targets_[l.target].address),
+                                              kConnectTimeout, std::move(handlers));
 }
 
 void LoadClient::flush(Link& l) {
@@ -78,7 +88,8 @@
     // The relay has gone with the message. It comes again only where a repeat is harmless: unsafe ones may
     // have taken effect, and keyed ones may only come within the window of the first try.
     const auto& c = settings_.classes[m.cls];
-    const bool repeat = c.effect == Effect::safe || (c.effect == Effect::keyed && loop_.now() < m.first_at + c.key_window / 2);
+    const bool repeat = c.effect == Effect::safe ||
+                        (c.effect == Effect::keyed && loop_.now() < m.first_at + c.key_window / 2);
     if (repeat && m.tries <= settings_.retries) {
       again(std::move(m), settings_.backoff);
     } else {
@@ -114,11 +125,13 @@
     Message m = std::move(it->second);
     l.out.erase(it);
     Tally& t = tallies_[m.cls];
-    if (e.type == Type::unprocessed || (e.type == Type::reset && e.code == http2::ErrorCode::refused_stream)) {
+    if (e.type == Type::unprocessed ||
+        (e.type == Type::reset && e.code == http2::ErrorCode::refused_stream)) {
       again(std::move(m), settings_.backoff);  // proved not taken
       continue;
     }
-    const auto status = e.type == Type::headers ? http2::find_header(e.headers, ":status") : std::string_view("0");
+    const auto status =
+        e.type == Type::headers ? http2::find_header(e.headers, ":status") : std::string_view("0");
     if (status[0] == '2') {
       t.served++;
       t.latencies.push_back(loop_.now() - m.first_at);
@@ -127,7 +140,8 @@
       if (m.tries <= settings_.retries) {
         Time wait = settings_.backoff;
         const auto told = http2::find_header(e.headers, "retry-after");
-        if (!told.empty() && uniform(random_) < settings_.honour) wait = std::max<Time>(wait, std::atoll(std::string(told).c_str()) * 1'000'000);
+        if (!told.empty() && uniform(random_) < settings_.honour)
+          wait = std::max<Time>(wait, std::atoll(std::string(told).c_str()) * 1'000'000);
         again(std::move(m), wait);
       } else {
         t.refused++;
@@ -151,7 +165,10 @@
 
 void LoadClient::ended(const Message&) {
   answered_++, waiting_--;
-  if (settings_.outstanding > 0 && asking_ && settings_.rate <= 0) loop_.defer([this, alive = alive_] { if (*alive) ask(); });
+  if (settings_.outstanding > 0 && asking_ && settings_.rate <= 0)
+    loop_.defer([this, alive = alive_] {
+      if (*alive) ask();
+    });
   if (done() && on_done_) loop_.defer([f = on_done_] { f(); });
 }
 
@@ -178,11 +195,13 @@
   }
   const auto& cls = settings_.classes[m.cls];
   dice = uniform(random_) * weights_.back();
-  m.destination = static_cast<std::size_t>(std::lower_bound(weights_.begin(), weights_.end(), dice) - weights_.begin());
+  m.destination =
+      static_cast<std::size_t>(std::lower_bound(weights_.begin(), weights_.end(), dice) - weights_.begin());
   const double hot = uniform(random_);
   if (hot_ >= 0 && hot < hot_share_) m.destination = static_cast<std::size_t>(hot_);
   const auto topic = random_(static_cast<std::uint64_t>(settings_.topics));
-  if (cls.effect == Effect::keyed) m.key = "k-" + std::to_string(settings_.seed) + "-" + std::to_string(m.number);
+  if (cls.effect == Effect::keyed)
+    m.key = "k-" + std::to_string(settings_.seed) + "-" + std::to_string(m.number);
   if (cls.ordered) m.topic = "d" + std::to_string(m.destination) + "-t" + std::to_string(topic);
   if (!settings_.tenants.empty()) m.tenant = settings_.tenants[random_(settings_.tenants.size())];
   m.first_at = loop_.now();
@@ -252,17 +271,18 @@
       l.out[stream] = std::move(m);
       if (gives_up) {
         const auto index = static_cast<std::size_t>(&l - links_.data());
-        loop_.after(static_cast<Time>(uniform(random_) * 60'000), [this, index, stream, id = l.id, alive = alive_] {
-          if (!*alive || links_[index].id != id) return;
-          const auto it = links_[index].out.find(stream);
-          if (it == links_[index].out.end()) return;
-          const Message gone = std::move(it->second);
-          links_[index].out.erase(it);
-          links_[index].h2->reset(stream, http2::ErrorCode::cancel);
-          flush(links_[index]);
-          tallies_[gone.cls].reset++;
-          ended(gone);
-        });
+        loop_.after(static_cast<Time>(uniform(random_) * 60'000),
+                    [this, index, stream, id = l.id, alive = alive_] {
+                      if (!*alive || links_[index].id != id) return;
+                      const auto it = links_[index].out.find(stream);
+                      if (it == links_[index].out.end()) return;
+                      const Message gone = std::move(it->second);
+                      links_[index].out.erase(it);
+                      links_[index].h2->reset(stream, http2::ErrorCode::cancel);
+                      flush(links_[index]);
+                      tallies_[gone.cls].reset++;
+                      ended(gone);
+                    });
       }
     }
     if (l.stream && l.id != 0) flush(l);
--- a/rig/load.hpp
+++ b/rig/load.hpp
@@ -1,5 +1,5 @@
-// A load client: pushes messages through relays (or straight to endpoints) over HTTP/2 and keeps book of every
-// answer.
+// A load client: pushes messages through relays (or straight to endpoints) over HTTP/2 and keeps book of
+// every answer.
 #pragma once
 
 #include <deque>
@@ -33,16 +33,16 @@
   std::size_t outstanding = 0;  // messages without an answer at most; 0: no cap
   std::vector<LoadClass> classes;
   std::vector<std::string> destinations;
-  double skew = 0.8;            // destination n gets a share of 1 / n^skew
+  double skew = 0.8;  // destination n gets a share of 1 / n^skew
   std::vector<std::string> tenants;
   std::string tenant_field;
-  int topics = 40;              // order keys of each destination, for ordered classes
-  int retries = 2;              // of refused messages
-  Time backoff = 500'000;       // before one, where no time to come back is told
-  double honour = 1;            // share of told times that are kept
-  double reset_share = 0;       // messages whose client gives up mid-way
+  int topics = 40;         // order keys of each destination, for ordered classes
+  int retries = 2;         // of refused messages
+  Time backoff = 500'000;  // before one, where no time to come back is told
+  double honour = 1;       // share of told times that are kept
+  double reset_share = 0;  // messages whose client gives up mid-way
   std::size_t body = 256;
-  int connections = 1;          // to each target
+  int connections = 1;  // to each target
 };
 
 struct Target {
@@ -63,9 +63,11 @@
     std::vector<Time> latencies;  // of the served ones, from the first try on
   };
   // Where a message goes: the target, and the path on it.
-  using Router = std::function<std::pair<std::size_t, std::string>(const Message&, const std::vector<bool>& up)>;
+  using Router =
+      std::function<std::pair<std::size_t, std::string>(const Message&, const std::vector<bool>& up)>;
 
-  LoadClient(loop::Loop& loop, const LoadSettings& settings, std::vector<Target> targets, Router router, record::Sink sink = {});
+  LoadClient(loop::Loop& loop, const LoadSettings& settings, std::vector<Target> targets, Router router,
+             record::Sink sink = {});
   ~LoadClient();
 
   void start();
--- a/rig/process.cpp
+++ b/rig/process.cpp
@@ -10,7 +10,8 @@
 
 namespace cedarplank::rig {
 
-Process::Process(loop::Loop& loop, const std::vector<std::string>& command, std::function<void(const std::string&)> line)
+Process::Process(loop::Loop& loop, const std::vector<std::string>& command,
+                 std::function<void(const std::string&)> line)
     : loop_(loop), line_(std::move(line)) {
   int fds[2];
   if (pipe2(fds, O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
--- a/rig/process.hpp
+++ b/rig/process.hpp
@@ -14,10 +14,11 @@
 class Process {
  public:
   // Throws std::system_error where it can't be started.
-  Process(loop::Loop& loop, const std::vector<std::string>& command, std::function<void(const std::string&)> line);
+  Process(loop::Loop& loop, const std::vector<std::string>& command,
+          std::function<void(const std::string&)> line);
   ~Process();  // kills it if it still runs
   void signal(int number);
-  bool running();                        // reaps it when it has ended
+  bool running();                          // reaps it when it has ended
   int exit_code() const { return code_; }  // -1 where a signal ended it
   pid_t pid() const { return pid_; }
 
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -25,7 +25,8 @@
 }
 
 std::string schema() {
-  return std::string(R"({"type": "object", "required": ["relay", "load", "destinations"], "additionalProperties": false, "properties": {
+  return std::string(
+             R"({"type": "object", "required": ["relay", "load", "destinations"], "additionalProperties": false, "properties": {
  "seed": {"type": "integer", "minimum": 0}, "lasts": {"type": "string"}, "settle": {"type": "string"},
  "relays": {"type": "integer", "minimum": 1, "maximum": 100}, "relay": {"type": "string"},
  "load": {"type": "object", "required": ["rate", "classes"], "additionalProperties": false, "properties": {
@@ -35,7 +36,8 @@
   "connections": {"type": "integer", "minimum": 1},
   "classes": {"type": "array", "minItems": 1, "items": {"type": "object", "required": ["name", "share"],
    "additionalProperties": false, "properties": {"name": {"type": "string"}, "share": {"type": "number", "minimum": 0}}}}}},
- "destinations": )") + standin::kDestinationsSchema + R"(,
+ "destinations": )") +
+         standin::kDestinationsSchema + R"(,
  "troubles": {"type": "array", "items": {"type": "object", "required": ["at", "trouble"], "additionalProperties": false,
   "properties": {"at": {"type": "string"}, "for": {"type": "string"}, "trouble": {"type": "string"},
   "on": {"type": "array", "items": {"type": "string"}}, "share": {"type": "number", "minimum": 0, "maximum": 1},
@@ -58,7 +60,8 @@
     name.position(t.kind == TroubleKind::hot ? destinations : names, "destination or endpoint");
     t.on.push_back(name.text());
   }
-  const bool needs_on = t.kind == TroubleKind::fault || t.kind == TroubleKind::hot || t.kind == TroubleKind::deploy;
+  const bool needs_on =
+      t.kind == TroubleKind::fault || t.kind == TroubleKind::hot || t.kind == TroubleKind::deploy;
   if (needs_on && t.on.empty()) v.fail("'on' names no destination or endpoint");
   if (needs_on && t.lasts <= 0) v.fail("'for' is missing");
   t.share = v.number("share", t.kind == TroubleKind::fault ? 1 : t.share);
@@ -67,9 +70,11 @@
   t.relay = v.integer("relay", 0);
   if (t.relay >= s.relays) v.at("relay").fail("there are only " + std::to_string(s.relays) + " relays");
   if (t.kind == TroubleKind::fault) {
-    t.fault.settings.fault = v.word<standin::Fault>("trouble", standin::fault_names(), standin::Fault::silent);
+    t.fault.settings.fault =
+        v.word<standin::Fault>("trouble", standin::fault_names(), standin::Fault::silent);
     t.fault.settings.share = t.share, t.fault.settings.times = t.times;
-    t.fault.settings.wait = v.duration("wait", 0), t.fault.settings.after = v.duration("after", t.fault.settings.after);
+    t.fault.settings.wait = v.duration("wait", 0),
+    t.fault.settings.after = v.duration("after", t.fault.settings.after);
   }
   return t;
 }
@@ -90,14 +95,17 @@
   const auto load = root.at("load");
   s.load.rate = load.at("rate").rate();
   s.load.skew = load.number("skew", s.load.skew), s.load.topics = load.integer("topics", s.load.topics);
-  s.load.retries = load.integer("retries", s.load.retries), s.load.backoff = load.duration("backoff", s.load.backoff);
+  s.load.retries = load.integer("retries", s.load.retries),
+  s.load.backoff = load.duration("backoff", s.load.backoff);
   s.load.honour = load.number("honour", s.load.honour), s.load.reset_share = load.number("reset_share", 0);
-  s.load.body = static_cast<std::size_t>(load.size("body", 256)), s.load.connections = load.integer("connections", 1);
+  s.load.body = static_cast<std::size_t>(load.size("body", 256)),
+  s.load.connections = load.integer("connections", 1);
   s.load.tenants = relay.names.tenants, s.load.tenant_field = relay.tenant_field;
   for (const auto& v : load.items("classes")) {
     const auto place = static_cast<std::size_t>(v.at("name").position(relay.names.classes, "class"));
     const auto& c = relay.dispatcher.classes[place];
-    s.load.classes.push_back({relay.names.classes[place], v.at("share").number(), c.effect, c.deadline, c.key_window, c.ordered});
+    s.load.classes.push_back(
+        {relay.names.classes[place], v.at("share").number(), c.effect, c.deadline, c.key_window, c.ordered});
   }
   for (const auto& d : s.destinations) s.load.destinations.push_back(d.settings.name);
   for (const auto& v : root.items("troubles")) s.troubles.push_back(read_trouble(v, s));
--- a/rig/scenario.hpp
+++ b/rig/scenario.hpp
@@ -10,16 +10,16 @@
 namespace cedarplank::rig {
 
 enum class TroubleKind {
-  fault,             // at stand-ins, see standin::Fault
-  burst,             // `times` the usual traffic
-  hot,               // one destination draws a further `share` of all messages
-  deploy,            // a share of the endpoints is drained and replaced
-  list_late,         // list changes come `by` late
-  list_unreadable,   // the list can't be read
-  list_half_written, // the list is cut off in the middle
-  relay_crash,       // a relay is killed, and started anew after it
-  relay_stall,       // a relay stands still
-  shared_slow        // all destinations take `times` as long
+  fault,              // at stand-ins, see standin::Fault
+  burst,              // `times` the usual traffic
+  hot,                // one destination draws a further `share` of all messages
+  deploy,             // a share of the endpoints is drained and replaced
+  list_late,          // list changes come `by` late
+  list_unreadable,    // the list can't be read
+  list_half_written,  // the list is cut off in the middle
+  relay_crash,        // a relay is killed, and started anew after it
+  relay_stall,        // a relay stands still
+  shared_slow         // all destinations take `times` as long
 };
 
 struct Trouble {
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -49,12 +49,14 @@
   return row[b.size()];
 }
 
-std::string child_path(const std::string& path, const std::string& key) { return path.empty() ? key : path + "." + key; }
+std::string child_path(const std::string& path, const std::string& key) {
+  return path.empty() ? key : path + "." + key;
+}
 
 // Keys that the schema doesn't know, with the nearest that it does; and keys given twice, which YAML forbids
 // and yaml-cpp lets pass.
-void check_keys(const Document& document, const YAML::Node& node, const rapidjson::Value& schema, const std::string& path,
-                int depth, std::vector<std::string>& errors) {
+void check_keys(const Document& document, const YAML::Node& node, const rapidjson::Value& schema,
+                const std::string& path, int depth, std::vector<std::string>& errors) {
   if (depth > kDeepest) {
     errors.push_back(document.where(node, path) + "nested too deeply");
     return;
@@ -83,7 +85,8 @@
     seen.push_back(key);
     const bool is_known = std::find(known.begin(), known.end(), key) != known.end();
     if (is_known) {
-      check_keys(document, entry.second, properties->value[key.c_str()], child_path(path, key), depth + 1, errors);
+      check_keys(document, entry.second, properties->value[key.c_str()], child_path(path, key), depth + 1,
+                 errors);
     } else if (more != schema.MemberEnd() && more->value.IsObject()) {
       check_keys(document, entry.second, more->value, child_path(path, key), depth + 1, errors);
     } else {
@@ -96,18 +99,22 @@
 
 }  // namespace
 
-ConfigError::ConfigError(std::vector<std::string> errors) : std::runtime_error(joined(errors)), errors_(std::move(errors)) {}
+ConfigError::ConfigError(std::vector<std::string> errors)
+    : std::runtime_error(joined(errors)), errors_(std::move(errors)) {}
 
 Time parse_duration(const std::string& text) {
-  return static_cast<Time>(parse_with_unit(
-      text, {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 60e6}, {"h", 3600e6}}, "duration such as 250ms, 2s or 1min"));
+  return static_cast<Time>(parse_with_unit(text,
+                                           {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 60e6}, {"h", 3600e6}},
+                                           "duration such as 250ms, 2s or 1min"));
 }
 double parse_rate(const std::string& text) {
-  return parse_with_unit(text, {{"/s", 1}, {"/min", 1.0 / 60}, {"/h", 1.0 / 3600}}, "rate such as 24/s or 90/min");
+  return parse_with_unit(text, {{"/s", 1}, {"/min", 1.0 / 60}, {"/h", 1.0 / 3600}},
+                         "rate such as 24/s or 90/min");
 }
 std::int64_t parse_size(const std::string& text) {
-  return static_cast<std::int64_t>(parse_with_unit(
-      text, {{"B", 1}, {"KiB", 1024}, {"MiB", 1024.0 * 1024}, {"GiB", 1024.0 * 1024 * 1024}}, "size such as 512B, 64KiB or 1MiB"));
+  return static_cast<std::int64_t>(
+      parse_with_unit(text, {{"B", 1}, {"KiB", 1024}, {"MiB", 1024.0 * 1024}, {"GiB", 1024.0 * 1024 * 1024}},
+                      "size such as 512B, 64KiB or 1MiB"));
 }
 
 std::string nearest(const std::string& name, const std::vector<std::string>& names) {
@@ -154,7 +161,8 @@
         if (line[i] == '#' && (i == 0 || line[i - 1] == ' ')) break;
         if ((line[i] == '[' || line[i] == '{') && ++depth > kDeepest)
           throw ConfigError({file + ":" + std::to_string(n) + ": nested too deeply"});
-        const bool starts = i == 0 || line[i - 1] == ' ' || line[i - 1] == '[' || line[i - 1] == ',' || line[i - 1] == '{';
+        const bool starts =
+            i == 0 || line[i - 1] == ' ' || line[i - 1] == '[' || line[i - 1] == ',' || line[i - 1] == '{';
         if (starts && (line[i] == '&' || line[i] == '*'))
           throw ConfigError({file + ":" + std::to_string(n) + ": anchors and aliases are not taken here"});
       }
@@ -191,10 +199,13 @@
 
 std::string Document::where(const YAML::Node& node, const std::string& path) const {
   const auto mark = node.Mark();
-  return file_ + ":" + std::to_string(mark.is_null() ? 1 : mark.line + 1) + ": " + (path.empty() ? "" : path + ": ");
+  return file_ + ":" + std::to_string(mark.is_null() ? 1 : mark.line + 1) + ": " +
+         (path.empty() ? "" : path + ": ");
 }
 
-void Value::fail(const std::string& what) const { throw ConfigError({document_->where(node_, path_) + what}); }
+void Value::fail(const std::string& what) const {
+  throw ConfigError({document_->where(node_, path_) + what});
+}
 
 bool Value::has(const char* key) const {
   if (!node_.IsMap()) return false;
@@ -214,7 +225,8 @@
 std::vector<std::pair<std::string, Value>> Value::entries() const {
   std::vector<std::pair<std::string, Value>> all;
   for (const auto& entry : node_)
-    all.emplace_back(entry.first.Scalar(), Value{*document_, entry.second, child_path(path_, entry.first.Scalar())});
+    all.emplace_back(entry.first.Scalar(),
+                     Value{*document_, entry.second, child_path(path_, entry.first.Scalar())});
   return all;
 }
 std::string Value::text() const {
@@ -232,7 +244,8 @@
   const std::string t = text();
   double v = 0;
   const auto [end, error] = std::from_chars(t.data(), t.data() + t.size(), v);
-  if (error != std::errc() || end != t.data() + t.size() || !std::isfinite(v)) fail("'" + t + "' is no number");
+  if (error != std::errc() || end != t.data() + t.size() || !std::isfinite(v))
+    fail("'" + t + "' is no number");
   return v;
 }
 bool Value::boolean() const {
@@ -270,7 +283,8 @@
 }
 int Value::position(const std::vector<std::string>& names, const char* what) const {
   const auto it = std::find(names.begin(), names.end(), text());
-  if (it == names.end()) fail("no " + std::string(what) + " is named '" + text() + "'" + one_of(text(), names));
+  if (it == names.end())
+    fail("no " + std::string(what) + " is named '" + text() + "'" + one_of(text(), names));
   return static_cast<int>(it - names.begin());
 }
 
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -41,9 +41,11 @@
       : document_(&document), node_(std::move(node)), path_(std::move(path)) {}
 
   bool has(const char* key) const;
-  Value at(const char* key) const;          // throws ConfigError where it is missing
-  std::vector<Value> items() const;         // of a list; none where it is absent
-  std::vector<Value> items(const char* key) const { return has(key) ? at(key).items() : std::vector<Value>{}; }
+  Value at(const char* key) const;   // throws ConfigError where it is missing
+  std::vector<Value> items() const;  // of a list; none where it is absent
+  std::vector<Value> items(const char* key) const {
+    return has(key) ? at(key).items() : std::vector<Value>{};
+  }
   std::vector<std::pair<std::string, Value>> entries() const;  // of a map, in the file's order
 
   std::string text() const;
@@ -55,8 +57,12 @@
   std::int64_t size() const;
 
   // The value of a key, or `absent`.
-  std::string text(const char* key, const std::string& absent) const { return has(key) ? at(key).text() : absent; }
-  int integer(const char* key, int absent) const { return has(key) ? static_cast<int>(at(key).integer()) : absent; }
+  std::string text(const char* key, const std::string& absent) const {
+    return has(key) ? at(key).text() : absent;
+  }
+  int integer(const char* key, int absent) const {
+    return has(key) ? static_cast<int>(at(key).integer()) : absent;
+  }
   double number(const char* key, double absent) const { return has(key) ? at(key).number() : absent; }
   bool boolean(const char* key, bool absent) const { return has(key) ? at(key).boolean() : absent; }
   Time duration(const char* key, Time absent) const { return has(key) ? at(key).duration() : absent; }
--- a/src/config/partners.cpp
+++ b/src/config/partners.cpp
@@ -26,7 +26,8 @@
 }})json";
 
 PartnerList parse_partners(const std::string& file, const std::string& text, const Names& names) {
-  if (text.empty() || text.back() != '\n') throw ConfigError({file + ": does not end with a line's end: half written?"});
+  if (text.empty() || text.back() != '\n')
+    throw ConfigError({file + ": does not end with a line's end: half written?"});
   const Document document = Document::parse(file, text, kPartnersSchema);
   const Value root = document.root();
   PartnerList list;
@@ -35,7 +36,8 @@
   for (const auto& partner : root.items("partners")) {
     PartnerEndpoint common;
     common.destination = partner.at("destination").text();
-    if (!destinations.insert(common.destination).second) partner.at("destination").fail("'" + common.destination + "' is listed twice");
+    if (!destinations.insert(common.destination).second)
+      partner.at("destination").fail("'" + common.destination + "' is listed twice");
     if (partner.has("kind")) common.kind = partner.at("kind").position(names.kinds, "kind");
     common.weight = partner.rate("weight", 1);
     for (const auto& v : partner.items("endpoints")) {
@@ -45,8 +47,9 @@
       if (!ids.insert(e.id).second) v.fail("endpoint '" + e.id + "' is listed twice");
       e.path = v.text("path", "/push");
       if (v.has("zone")) e.zone = v.at("zone").position(names.zones, "zone");
-      e.listing = v.word<Listing>("state", {{"active", Listing::active}, {"draining", Listing::draining}, {"gone", Listing::gone}},
-                                  Listing::active);
+      e.listing = v.word<Listing>(
+          "state", {{"active", Listing::active}, {"draining", Listing::draining}, {"gone", Listing::gone}},
+          Listing::active);
       e.weight = v.rate("weight", common.weight);
       list.endpoints.push_back(std::move(e));
     }
@@ -62,17 +65,22 @@
   for (const auto& e : list.endpoints) by_destination[e.destination].push_back(&e);
   YAML::Emitter out;
   out << YAML::BeginMap << YAML::Key << "version" << YAML::Value << list.version;
-  out << YAML::Key << "count" << YAML::Value << list.endpoints.size() << YAML::Key << "partners" << YAML::BeginSeq;
+  out << YAML::Key << "count" << YAML::Value << list.endpoints.size() << YAML::Key << "partners"
+      << YAML::BeginSeq;
   for (const auto& [destination, endpoints] : by_destination) {
     out << YAML::BeginMap << YAML::Key << "destination" << YAML::Value << destination;
-    if (!names.kinds.empty()) out << YAML::Key << "kind" << YAML::Value << names.kinds[static_cast<std::size_t>(endpoints[0]->kind)];
+    if (!names.kinds.empty())
+      out << YAML::Key << "kind" << YAML::Value << names.kinds[static_cast<std::size_t>(endpoints[0]->kind)];
     out << YAML::Key << "endpoints" << YAML::BeginSeq;
     for (const auto* e : endpoints) {
-      out << YAML::Flow << YAML::BeginMap << YAML::Key << "id" << YAML::Value << e->id << YAML::Key << "address"
-          << YAML::Value << e->address << YAML::Key << "path" << YAML::Value << e->path;
-      if (!names.zones.empty()) out << YAML::Key << "zone" << YAML::Value << names.zones[static_cast<std::size_t>(e->zone)];
+      out << YAML::Flow << YAML::BeginMap << YAML::Key << "id" << YAML::Value << e->id << YAML::Key
+          << "address" << YAML::Value << e->address << YAML::Key << "path" << YAML::Value << e->path;
+      if (!names.zones.empty())
+        out << YAML::Key << "zone" << YAML::Value << names.zones[static_cast<std::size_t>(e->zone)];
       out << YAML::Key << "state" << YAML::Value
-          << (e->listing == Listing::active ? "active" : e->listing == Listing::draining ? "draining" : "gone");
+          << (e->listing == Listing::active     ? "active"
+              : e->listing == Listing::draining ? "draining"
+                                                : "gone");
       out << YAML::Key << "weight" << YAML::Value << std::to_string(e->weight) + "/s" << YAML::EndMap;
     }
     out << YAML::EndSeq << YAML::EndMap;
--- a/src/config/relay_settings.cpp
+++ b/src/config/relay_settings.cpp
@@ -68,7 +68,8 @@
   std::vector<std::string> names;
   for (const auto& item : root.items(key)) {
     const std::string name = item.at("name").text();
-    if (std::find(names.begin(), names.end(), name) != names.end()) item.at("name").fail("'" + name + "' is named twice");
+    if (std::find(names.begin(), names.end(), name) != names.end())
+      item.at("name").fail("'" + name + "' is named twice");
     names.push_back(name);
   }
   return names;
@@ -80,7 +81,8 @@
   c.late_worth = v.number("late_worth", c.late_worth);
   c.aim = v.duration("aim", c.aim);
   c.deadline = v.duration("deadline", c.deadline);
-  c.effect = v.word<Effect>("effect", {{"safe", Effect::safe}, {"keyed", Effect::keyed}, {"unsafe", Effect::unsafe}}, c.effect);
+  c.effect = v.word<Effect>(
+      "effect", {{"safe", Effect::safe}, {"keyed", Effect::keyed}, {"unsafe", Effect::unsafe}}, c.effect);
   c.group = v.word<KeyGroup>("group", {{"all", KeyGroup::all}, {"zone", KeyGroup::zone}}, c.group);
   c.key_window = v.duration("key_window", c.key_window);
   c.ordered = v.boolean("ordered", c.ordered);
@@ -93,7 +95,8 @@
 Settings read_dispatcher(const Value& root, const Names& names) {
   Settings s;
   for (const auto& c : root.items("classes")) s.classes.push_back(read_class(c));
-  for (const auto& k : root.items("kinds")) s.kinds.push_back({k.boolean("routes_apart", false), k.integer("bundle_max", 1)});
+  for (const auto& k : root.items("kinds"))
+    s.kinds.push_back({k.boolean("routes_apart", false), k.integer("bundle_max", 1)});
   for (const auto& t : root.items("tenants")) s.tenants.push_back({t.rate("quota", 0)});
   for (const auto& z : root.items("zones")) s.zone_fees.push_back(z.number("fee", 0));
   s.slots = 64, s.open_max = 1000, s.attempts_max = 8;  // also where there is no such section
@@ -102,7 +105,8 @@
   const Value v = root.at("dispatcher");
   s.decay = v.word<Decay>("decay", {{"line", Decay::line}, {"halves", Decay::halves}}, s.decay);
   s.weights = v.word<WeightKind>(
-      "weights", {{"none", WeightKind::none}, {"nominal", WeightKind::nominal}, {"rough", WeightKind::rough}}, s.weights);
+      "weights", {{"none", WeightKind::none}, {"nominal", WeightKind::nominal}, {"rough", WeightKind::rough}},
+      s.weights);
   s.refused_price = v.number("refused_price", s.refused_price);
   s.over_share_worth = v.number("over_share_worth", s.over_share_worth);
   s.relays = v.integer("relays", s.relays);
@@ -134,7 +138,8 @@
 RelaySettings read(const Document& document) {
   const Value root = document.root();
   RelaySettings s;
-  s.names = {names_of(root, "classes"), names_of(root, "kinds"), names_of(root, "zones"), names_of(root, "tenants")};
+  s.names = {names_of(root, "classes"), names_of(root, "kinds"), names_of(root, "zones"),
+             names_of(root, "tenants")};
   for (const auto& k : root.items("kinds")) s.kind_wire.push_back({k.boolean("unseen_503", false)});
 
   const Value relay = root.at("relay");
@@ -142,7 +147,8 @@
   s.listen = relay.at("listen").text();
   s.seed = static_cast<std::uint64_t>(relay.has("seed") ? relay.at("seed").integer() : 0);
   s.tenant_field = relay.text("tenant_field", s.tenant_field);
-  if (!s.names.tenants.empty() && s.tenant_field.empty()) relay.fail("tenants are listed, but tenant_field is missing");
+  if (!s.names.tenants.empty() && s.tenant_field.empty())
+    relay.fail("tenants are listed, but tenant_field is missing");
   s.drain_within = relay.duration("drain_within", s.drain_within);
   s.body_max = relay.size("body_max", s.body_max);
   s.body_total_max = relay.size("body_total_max", s.body_total_max);
@@ -169,7 +175,8 @@
       s.peers.push_back({static_cast<int>(p.at("rank").integer()), p.at("address").text()});
     s.dispatcher.peers = true;
   }
-  if (s.kind_wire.empty()) s.kind_wire.emplace_back(), s.dispatcher.kinds.emplace_back(), s.names.kinds.push_back("plain");
+  if (s.kind_wire.empty())
+    s.kind_wire.emplace_back(), s.dispatcher.kinds.emplace_back(), s.names.kinds.push_back("plain");
   try {
     validate(s.dispatcher);
   } catch (const std::invalid_argument& e) {
@@ -180,7 +187,9 @@
 
 }  // namespace
 
-RelaySettings load_relay_settings(const std::string& file) { return read(Document::load(file, kRelaySchema)); }
+RelaySettings load_relay_settings(const std::string& file) {
+  return read(Document::load(file, kRelaySchema));
+}
 RelaySettings parse_relay_settings(const std::string& file, const std::string& text) {
   return read(Document::parse(file, text, kRelaySchema));
 }
--- a/src/config/schema_check.cpp
+++ b/src/config/schema_check.cpp
@@ -26,7 +26,8 @@
   }
   if (!node.IsMap()) return rapidjson::Value();
   rapidjson::Value map(rapidjson::kObjectType);
-  for (const auto& entry : node) map.AddMember(text(entry.first.Scalar()), as_json(entry.second, memory), memory);
+  for (const auto& entry : node)
+    map.AddMember(text(entry.first.Scalar()), as_json(entry.second, memory), memory);
   return map;
 }
 
@@ -61,7 +62,8 @@
   for (const auto& e : errors) {
     bool covered = false;
     for (const auto& other : errors)
-      covered = covered || (other.path.size() > e.path.size() && std::equal(e.path.begin(), e.path.end(), other.path.begin()));
+      covered = covered || (other.path.size() > e.path.size() &&
+                            std::equal(e.path.begin(), e.path.end(), other.path.begin()));
     if (!covered) innermost.push_back(e);
   }
   return innermost;
--- a/src/engine/c_api.cpp
+++ b/src/engine/c_api.cpp
@@ -40,14 +40,17 @@
 }
 
 int cp_submit(cp_engine* engine, const cp_message* m, uint64_t* ticket, char* error, size_t error_size) {
-  if (engine == nullptr || m == nullptr || m->size < sizeof(cp_message) || (m->body == nullptr && m->body_size > 0)) {
+  if (engine == nullptr || m == nullptr || m->size < sizeof(cp_message) ||
+      (m->body == nullptr && m->body_size > 0)) {
     tell("engine or message is missing, or of another size", error, error_size);
     return CP_INVALID;
   }
   try {
     Message message;
-    message.destination = text(m->destination), message.message_class = text(m->message_class), message.tenant = text(m->tenant);
-    message.idempotency_key = text(m->idempotency_key), message.topic = text(m->topic), message.content_type = text(m->content_type);
+    message.destination = text(m->destination), message.message_class = text(m->message_class),
+    message.tenant = text(m->tenant);
+    message.idempotency_key = text(m->idempotency_key), message.topic = text(m->topic),
+    message.content_type = text(m->content_type);
     if (m->body_size > 0) message.body.assign(static_cast<const char*>(m->body), m->body_size);
     message.time_to_live = m->time_to_live;
     const auto s = engine->engine->submit(std::move(message));
@@ -73,7 +76,8 @@
   auto* at = reinterpret_cast<char*>(answers);
   for (const auto& a : got) {
     auto* out = reinterpret_cast<cp_answer*>(at);
-    out->ticket = a.ticket, out->final = static_cast<int>(a.final), out->attempts = a.attempts, out->come_back = a.come_back;
+    out->ticket = a.ticket, out->final = static_cast<int>(a.final), out->attempts = a.attempts,
+    out->come_back = a.come_back;
     tell(a.detail, out->detail, sizeof out->detail);
     at += stride;
   }
@@ -81,7 +85,9 @@
 }
 
 int cp_descriptor(const cp_engine* engine) { return engine == nullptr ? -1 : engine->engine->descriptor(); }
-int cp_engine_state(const cp_engine* engine) { return engine == nullptr ? CP_STOPPED : static_cast<int>(engine->engine->state()); }
+int cp_engine_state(const cp_engine* engine) {
+  return engine == nullptr ? CP_STOPPED : static_cast<int>(engine->engine->state());
+}
 size_t cp_held(const cp_engine* engine) { return engine == nullptr ? 0 : engine->engine->snapshot().held; }
 void cp_drain(cp_engine* engine, int64_t within) {
   if (engine != nullptr) engine->engine->drain(within);
@@ -89,7 +95,9 @@
 void cp_stop(cp_engine* engine) {
   if (engine != nullptr) engine->engine->stop();
 }
-int cp_wait(cp_engine* engine, int64_t within) { return engine == nullptr || engine->engine->wait(within) ? 1 : 0; }
+int cp_wait(cp_engine* engine, int64_t within) {
+  return engine == nullptr || engine->engine->wait(within) ? 1 : 0;
+}
 void cp_close(cp_engine* engine) { delete engine; }
 
 }  // extern "C"
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -1,8 +1,9 @@
 // cedarplank::delivery::Engine: threads and queues around one node::Node.
 //
-// Three kinds of thread: hosts' threads submit into a lock-free queue; the loop thread alone touches the node; the
-// answer thread runs callbacks, so that one that blocks holds no delivery up. With Threading::host run_once() does the
-// work of the last two. Impl outlives the Engine while a thread still uses it (destruction inside a callback).
+// Three kinds of thread: hosts' threads submit into a lock-free queue; the loop thread alone touches the
+// node; the answer thread runs callbacks, so that one that blocks holds no delivery up. With Threading::host
+// run_once() does the work of the last two. Impl outlives the Engine while a thread still uses it
+// (destruction inside a callback).
 #include <concurrentqueue/blockingconcurrentqueue.h>
 #include <concurrentqueue/concurrentqueue.h>
 #include <fcntl.h>
@@ -23,7 +24,8 @@
 namespace cedarplank::delivery {
 namespace {
 
-constexpr std::size_t kBatch = 1024;  // submissions taken in one turn, so that the loop's other work is not starved
+constexpr std::size_t kBatch =
+    1024;  // submissions taken in one turn, so that the loop's other work is not starved
 constexpr Time kCloseWithin = 2'000'000;
 
 struct Order {  // from a host's thread to the loop's
@@ -43,11 +45,16 @@
 
 struct Engine::Impl : std::enable_shared_from_this<Engine::Impl>, relay::Answers {
   Impl(config::RelaySettings s, Options o, node::Node::DeciderMaker d)
-      : settings(std::move(s)), options(std::move(o)), decider(std::move(d)), intake(settings), pid(getpid()) {
+      : settings(std::move(s)),
+        options(std::move(o)),
+        decider(std::move(d)),
+        intake(settings),
+        pid(getpid()) {
     if (options.held_max == 0) options.held_max = static_cast<std::size_t>(settings.dispatcher.open_max);
     // The buffer's cap is kept where messages are submitted: what is taken there must not meet a full core.
     int fds[2];
-    if (pipe2(fds, O_NONBLOCK | O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "completion descriptor");
+    if (pipe2(fds, O_NONBLOCK | O_CLOEXEC) != 0)
+      throw std::system_error(errno, std::generic_category(), "completion descriptor");
     ready_read = net::Fd(fds[0]), ready_write = net::Fd(fds[1]);
   }
 
@@ -91,7 +98,8 @@
   std::uint64_t undelivered = 0;  // answers for the answer thread that it has not finished, see `finished`
   std::atomic<std::uint64_t> finished{0};
   bool closed = false;
-  std::uint64_t inside = 0;  // Threading::host: callbacks that run now; one of them may be what stops the engine
+  std::uint64_t inside =
+      0;  // Threading::host: callbacks that run now; one of them may be what stops the engine
 
   bool forked() const { return getpid() != pid; }
 
@@ -109,11 +117,13 @@
 
   void start() {
     node = std::make_unique<node::Node>(
-        loop, settings, [this](const char* event, const std::string& text) { log(event, text); }, decider, options.serve);
+        loop, settings, [this](const char* event, const std::string& text) { log(event, text); }, decider,
+        options.serve);
     bound = node->address();
     apply(engine::Input::opened);
     if (options.threading == Options::Threading::host) return;
-    // The threads share the ownership: an Engine destroyed inside a callback leaves them to end by themselves.
+    // The threads share the ownership: an Engine destroyed inside a callback leaves them to end by
+    // themselves.
     loop_thread = std::thread([self = shared_from_this()] {
       while (!self->closed) self->loop.run_once(-1);
       self->node.reset();
@@ -198,8 +208,9 @@
   void close() {
     closed = true;
     const auto& c = node->core().counts();
-    log("counts", "taken " + std::to_string(c.taken) + ", served " + std::to_string(c.served) + ", refused " + std::to_string(c.refused) +
-                      ", failed " + std::to_string(c.failed) + ", withdrawn " + std::to_string(c.withdrawn));
+    log("counts", "taken " + std::to_string(c.taken) + ", served " + std::to_string(c.served) + ", refused " +
+                      std::to_string(c.refused) + ", failed " + std::to_string(c.failed) + ", withdrawn " +
+                      std::to_string(c.withdrawn));
     callbacks.enqueue(std::nullopt);
   }
 
@@ -213,7 +224,8 @@
     deliver(std::move(answer), std::move(callback));
   }
   void idle_check() {
-    if (state.load() == State::draining && submitting.load() == 0 && pending.empty() && orders.size_approx() == 0 && node->drained())
+    if (state.load() == State::draining && submitting.load() == 0 && pending.empty() &&
+        orders.size_approx() == 0 && node->drained())
       apply(engine::Input::nothing_held);
     else if (state.load() == State::draining)
       loop.after(5'000, [this] { idle_check(); });
@@ -235,9 +247,15 @@
     [[maybe_unused]] const auto n = write(ready_write.get(), &byte, 1);
   }
 
-  void served(MessageId id, const relay::Ending& e) override { answered(id, {0, Final::served, 0, 0, e.what}); }
-  void refused(MessageId id, Time back, const relay::Account& a) override { answered(id, {0, Final::refused, back, a.attempts, a.last}); }
-  void failed(MessageId id, const relay::Account& a) override { answered(id, {0, Final::failed, 0, a.attempts, a.last}); }
+  void served(MessageId id, const relay::Ending& e) override {
+    answered(id, {0, Final::served, 0, 0, e.what});
+  }
+  void refused(MessageId id, Time back, const relay::Account& a) override {
+    answered(id, {0, Final::refused, back, a.attempts, a.last});
+  }
+  void failed(MessageId id, const relay::Account& a) override {
+    answered(id, {0, Final::failed, 0, a.attempts, a.last});
+  }
 
   void take_orders() {
     woken.exchange(false);  // reads what was put in before the mark was set
@@ -256,8 +274,8 @@
     while (orders.try_dequeue(order)) take_order(std::move(order));
     take_withdrawals();
   }
-  // Only once the queue was empty: its producers are in no common order, so that a ticket's own submission may come out
-  // after another thread's withdrawal of it.
+  // Only once the queue was empty: its producers are in no common order, so that a ticket's own submission
+  // may come out after another thread's withdrawal of it.
   void take_withdrawals() {
     const auto tickets = std::exchange(withdrawals, {});
     for (const Ticket ticket : tickets) {
@@ -271,8 +289,8 @@
   void take_order(Order order) {
     switch (order.kind) {
       case Order::Kind::call:
-        // At the turn's end, never between the orders of one batch: a drain would refuse those behind it, which were
-        // submitted before it.
+        // At the turn's end, never between the orders of one batch: a drain would refuse those behind it,
+        // which were submitted before it.
         return loop.defer(std::move(order.call));
       case Order::Kind::withdraw:
         withdrawals.push_back(order.ticket);
@@ -280,7 +298,9 @@
       case Order::Kind::submit:
         break;
     }
-    const auto reject = [&](Final final, std::string why) { deliver({order.ticket, final, 0, 0, std::move(why)}, std::move(order.callback)); };
+    const auto reject = [&](Final final, std::string why) {
+      deliver({order.ticket, final, 0, 0, std::move(why)}, std::move(order.callback));
+    };
     const auto destination = node->destination(order.destination);
     if (!destination) return reject(Final::rejected, "no destination is named '" + order.destination + "'");
     order.message.destination = *destination;
@@ -293,7 +313,9 @@
     });
     // Never sent: harmless to try again. Stopping, or clients of the front have filled the buffer.
     if (taken != relay::Core::Taken::yes)
-      answered(id, {0, Final::refused, 0, 0, taken == relay::Core::Taken::full ? "the relay holds all it may" : "the relay is stopping"});
+      answered(id,
+               {0, Final::refused, 0, 0,
+                taken == relay::Core::Taken::full ? "the relay holds all it may" : "the relay is stopping"});
   }
 
   // Runs on the loop's thread and waits for it; at once where the host's thread is the loop's.
@@ -334,9 +356,11 @@
       return {Submitted::would_block, 0, "as many messages are held as may be"};
     }
     relay::Request r;
-    r.destination = std::move(m.destination), r.message_class = std::move(m.message_class), r.tenant = std::move(m.tenant);
+    r.destination = std::move(m.destination), r.message_class = std::move(m.message_class),
+    r.tenant = std::move(m.tenant);
     r.ttl = m.time_to_live > 0 ? m.time_to_live : std::numeric_limits<Time>::max() / 4;
-    r.idempotency_key = std::move(m.idempotency_key), r.has_topic = !m.topic.empty(), r.topic = std::move(m.topic);
+    r.idempotency_key = std::move(m.idempotency_key), r.has_topic = !m.topic.empty(),
+    r.topic = std::move(m.topic);
     r.content_type = std::move(m.content_type), r.content_encoding = std::move(m.content_encoding);
     r.urgency = std::move(m.urgency);
     Order order;
@@ -346,7 +370,8 @@
       release();
       return {Submitted::rejected, 0, rejection->detail};
     }
-    order.destination = std::move(r.destination), order.message.body = std::move(m.body), order.callback = std::move(callback);
+    order.destination = std::move(r.destination), order.message.body = std::move(m.body),
+    order.callback = std::move(callback);
     const Ticket ticket = order.ticket = next_ticket++;
     submitted++;
     orders.enqueue(std::move(order));
@@ -390,12 +415,13 @@
 
 Engine::~Engine() {
   impl_->shut_down();
-  // In a forked child nothing of the parent's is touched, not even to free it: locks may be held by threads that
-  // don't exist here.
+  // In a forked child nothing of the parent's is touched, not even to free it: locks may be held by threads
+  // that don't exist here.
   if (impl_->forked()) new std::shared_ptr<Impl>(std::move(impl_));
 }
 
-std::unique_ptr<Engine> EngineAccess::open(config::RelaySettings settings, Options options, node::Node::DeciderMaker decider) {
+std::unique_ptr<Engine> EngineAccess::open(config::RelaySettings settings, Options options,
+                                           node::Node::DeciderMaker decider) {
   auto impl = std::make_shared<Engine::Impl>(std::move(settings), std::move(options), std::move(decider));
   impl->start();
   return std::unique_ptr<Engine>(new Engine(std::move(impl)));
@@ -405,7 +431,8 @@
   return EngineAccess::open(config::load_relay_settings(file), std::move(options), relay::make_dispatcher);
 }
 std::unique_ptr<Engine> Engine::open_text(const std::string& name, const std::string& text, Options options) {
-  return EngineAccess::open(config::parse_relay_settings(name, text), std::move(options), relay::make_dispatcher);
+  return EngineAccess::open(config::parse_relay_settings(name, text), std::move(options),
+                            relay::make_dispatcher);
 }
 
 Submission Engine::submit(Message message, Callback callback) { return impl_->submit(message, callback); }
@@ -418,7 +445,8 @@
     std::unique_lock lock(impl_->mutex);
     impl_->waiting_for_room++;
     // A short cap too: room may have been made between the try and the lock.
-    impl_->changed.wait_until(lock, std::min(until, std::chrono::steady_clock::now() + std::chrono::milliseconds(5)));
+    impl_->changed.wait_until(
+        lock, std::min(until, std::chrono::steady_clock::now() + std::chrono::milliseconds(5)));
     impl_->waiting_for_room--;
   }
 }
@@ -479,7 +507,8 @@
       if (list->size() >= oldest) break;
       const auto& p = i.pending.at(id);
       list->push_back({ticket, i.node->name_of(p.destination),
-                       i.settings.names.classes[static_cast<std::size_t>(p.message_class)], i.loop.now() - p.since});
+                       i.settings.names.classes[static_cast<std::size_t>(p.message_class)],
+                       i.loop.now() - p.since});
     }
   });
   s.oldest = *list, s.held_for_clients = *clients;
@@ -503,11 +532,13 @@
 bool Engine::wait(Time within) {
   if (impl_->options.threading == Options::Threading::host) {
     const Time until = loop::monotonic_now() + within;
-    while (state() != State::stopped && loop::monotonic_now() < until) impl_->run_once(std::min<Time>(5'000, until - loop::monotonic_now()));
+    while (state() != State::stopped && loop::monotonic_now() < until)
+      impl_->run_once(std::min<Time>(5'000, until - loop::monotonic_now()));
     return state() == State::stopped;
   }
   std::unique_lock lock(impl_->mutex);
-  return impl_->changed.wait_for(lock, std::chrono::microseconds(within), [this] { return impl_->state.load() == State::stopped; });
+  return impl_->changed.wait_for(lock, std::chrono::microseconds(within),
+                                 [this] { return impl_->state.load() == State::stopped; });
 }
 
 std::vector<std::string> Engine::reload(const std::string& file) {
--- a/src/engine/engine_access.hpp
+++ b/src/engine/engine_access.hpp
@@ -1,4 +1,5 @@
-// For the daemon and for tests: an engine from settings that were read already, with another decider if need be.
+// For the daemon and for tests: an engine from settings that were read already, with another decider if need
+// be.
 #pragma once
 
 #include "cedarplank/delivery.hpp"
@@ -7,7 +8,8 @@
 namespace cedarplank::delivery {
 
 struct EngineAccess {
-  static std::unique_ptr<Engine> open(config::RelaySettings settings, Options options, node::Node::DeciderMaker decider);
+  static std::unique_ptr<Engine> open(config::RelaySettings settings, Options options,
+                                      node::Node::DeciderMaker decider);
 };
 
 }  // namespace cedarplank::delivery
--- a/src/engine/lifecycle.hpp
+++ b/src/engine/lifecycle.hpp
@@ -1,5 +1,5 @@
-// The life of an engine as a state machine: what each call does in each state, and how a message ends on each way
-// out. Free of I/O, threads and clock.
+// The life of an engine as a state machine: what each call does in each state, and how a message ends on each
+// way out. Free of I/O, threads and clock.
 #pragma once
 
 #include <optional>
@@ -14,13 +14,13 @@
 using delivery::State;
 
 enum class Input {
-  opened,         // settings read, list read, sockets bound
+  opened,  // settings read, list read, sockets bound
   open_failed,
-  drain,          // asked to take nothing more
-  nothing_held,   // the last held message was answered
+  drain,         // asked to take nothing more
+  nothing_held,  // the last held message was answered
   drain_deadline,
-  stop,           // asked to end now, or destroyed
-  all_answered    // while stopping: every answer has been handed over
+  stop,         // asked to end now, or destroyed
+  all_answered  // while stopping: every answer has been handed over
 };
 
 // What the host of the machine has to do on a step.
@@ -28,15 +28,16 @@
   State next = State::opening;
   bool stop_taking = false;  // submissions are closed from here on
   bool arm_deadline = false;
-  bool end_all = false;      // give every held message its final answer now
-  bool close = false;        // nothing is left to do
+  bool end_all = false;  // give every held message its final answer now
+  bool close = false;    // nothing is left to do
 };
 
 constexpr Step step(State state, Input input) {
   switch (state) {
     case State::opening:
       if (input == Input::opened) return {.next = State::running};
-      if (input == Input::open_failed || input == Input::stop) return {.next = State::stopped, .stop_taking = true, .close = true};
+      if (input == Input::open_failed || input == Input::stop)
+        return {.next = State::stopped, .stop_taking = true, .close = true};
       break;
     case State::running:
       if (input == Input::drain) return {.next = State::draining, .stop_taking = true, .arm_deadline = true};
@@ -60,7 +61,8 @@
 constexpr bool takes(State state) { return state == State::running; }
 
 // Which settings may change in service. One line for each that may not and did; empty: all can be taken over.
-inline std::vector<std::string> reload_refusals(const config::RelaySettings& now, const config::RelaySettings& next) {
+inline std::vector<std::string> reload_refusals(const config::RelaySettings& now,
+                                                const config::RelaySettings& next) {
   std::vector<std::string> refused;
   const auto keep = [&](bool same, const char* key) {
     if (!same) refused.push_back(std::string(key) + ": can't change in service; start anew");
@@ -68,7 +70,8 @@
   keep(now.name == next.name, "relay.name");
   keep(now.listen == next.listen, "relay.listen");
   keep(now.tenant_field == next.tenant_field, "relay.tenant_field");
-  keep(now.partners_file == next.partners_file && now.partners_cache == next.partners_cache, "partners.file and cache");
+  keep(now.partners_file == next.partners_file && now.partners_cache == next.partners_cache,
+       "partners.file and cache");
   keep(now.notes_listen == next.notes_listen, "peers.listen");
   // Messages in hand carry places in these lists, and the module holds the figures.
   keep(now.names.classes == next.names.classes, "classes");
@@ -79,16 +82,19 @@
   bool classes = a.classes.size() == b.classes.size();
   for (std::size_t i = 0; classes && i < a.classes.size(); i++) {
     const auto &x = a.classes[i], &y = b.classes[i];
-    classes = x.worth == y.worth && x.late_worth == y.late_worth && x.aim == y.aim && x.deadline == y.deadline &&
-              x.effect == y.effect && x.group == y.group && x.key_window == y.key_window && x.ordered == y.ordered;
+    classes = x.worth == y.worth && x.late_worth == y.late_worth && x.aim == y.aim &&
+              x.deadline == y.deadline && x.effect == y.effect && x.group == y.group &&
+              x.key_window == y.key_window && x.ordered == y.ordered;
   }
   keep(classes, "classes");
-  keep(a.slots == b.slots && a.open_max == b.open_max && a.attempts_max == b.attempts_max && a.tick == b.tick &&
-           a.relays == b.relays && a.rank == b.rank && a.zone == b.zone && a.connect_timeout == b.connect_timeout &&
-           a.connection_idle == b.connection_idle && a.drain_grace == b.drain_grace && a.cold == b.cold &&
-           a.fall_multiple == b.fall_multiple && a.overload_for == b.overload_for && a.cold_from == b.cold_from &&
+  keep(a.slots == b.slots && a.open_max == b.open_max && a.attempts_max == b.attempts_max &&
+           a.tick == b.tick && a.relays == b.relays && a.rank == b.rank && a.zone == b.zone &&
+           a.connect_timeout == b.connect_timeout && a.connection_idle == b.connection_idle &&
+           a.drain_grace == b.drain_grace && a.cold == b.cold && a.fall_multiple == b.fall_multiple &&
+           a.overload_for == b.overload_for && a.cold_from == b.cold_from &&
            a.retry_after_max == b.retry_after_max && a.settle_after_doubt == b.settle_after_doubt &&
-           a.decay == b.decay && a.weights == b.weights && a.refused_price == b.refused_price && a.subscribe == b.subscribe,
+           a.decay == b.decay && a.weights == b.weights && a.refused_price == b.refused_price &&
+           a.subscribe == b.subscribe,
        "dispatcher");
   return refused;
 }
--- a/src/gateway/back.cpp
+++ b/src/gateway/back.cpp
@@ -38,14 +38,17 @@
 
 void Back::drop_pool_if_done(const EndpointId& id) {
   const auto it = pools_.find(id);
-  if (it != pools_.end() && !it->second->listed && it->second->links.empty() && it->second->waiting.empty()) pools_.erase(it);
+  if (it != pools_.end() && !it->second->listed && it->second->links.empty() && it->second->waiting.empty())
+    pools_.erase(it);
 }
 
 void Back::send(const relay::CallOrder& order) {
   const auto it = pools_.find(order.endpoint);
   if (it == pools_.end()) {
     // Told later: the core is in the middle of a round.
-    loop_.defer([this, id = order.id] { host_.ended(id, {Outcome::not_sent, 0, {}, "the endpoint is not listed", {}}); });
+    loop_.defer([this, id = order.id] {
+      host_.ended(id, {Outcome::not_sent, 0, {}, "the endpoint is not listed", {}});
+    });
     return;
   }
   Pool& pool = *it->second;
@@ -59,7 +62,8 @@
 }
 
 bool Back::has_room(const Link& link) const {
-  const auto most = std::min<std::uint64_t>(link.h2.peer_max_streams(), static_cast<std::uint64_t>(settings_.endpoint_streams_max));
+  const auto most = std::min<std::uint64_t>(link.h2.peer_max_streams(),
+                                            static_cast<std::uint64_t>(settings_.endpoint_streams_max));
   // Nothing is put behind bytes that the endpoint doesn't read: it could no longer be called back.
   return link.standing && !link.closing && link.h2.can_request() && link.h2.streams() < most &&
          link.stream->queued() == link.stream->flushed() && link.h2.unsent_body() == 0;
@@ -101,7 +105,8 @@
   handlers.closed = [this, &pool, n](const std::string& why) { lost(pool, n, why); };
   try {
     // The connect time-out runs until the endpoint's SETTINGS, not only until the socket connects.
-    link.stream = connector_(net::Address::parse(pool.endpoint.address), settings_.dispatcher.connect_timeout, std::move(handlers));
+    link.stream = connector_(net::Address::parse(pool.endpoint.address), settings_.dispatcher.connect_timeout,
+                             std::move(handlers));
   } catch (const std::exception& e) {
     const std::string why = e.what();
     loop_.defer([this, id = pool.endpoint.id, n, why] {
@@ -153,7 +158,8 @@
   if (calls_.erase(id) > 0) host_.ended(id, std::move(ending));
 }
 
-void Back::end_stream(Link& link, http2::StreamId stream, Break how, http2::ErrorCode code, const std::string& why) {
+void Back::end_stream(Link& link, http2::StreamId stream, Break how, http2::ErrorCode code,
+                      const std::string& why) {
   const auto it = link.calls.find(stream);
   if (it == link.calls.end()) return;
   const CallId id = it->second;
@@ -264,10 +270,11 @@
   if (link.closing) return;
   link.closing = true;
   loop_.cancel(link.timer), link.timer = 0;
-  if (!link.standing) return loop_.defer([this, id = link.pool->endpoint.id, n = link.id] {
-    const auto it = pools_.find(id);
-    if (it != pools_.end()) lost(*it->second, n, "closed here");
-  });
+  if (!link.standing)
+    return loop_.defer([this, id = link.pool->endpoint.id, n = link.id] {
+      const auto it = pools_.find(id);
+      if (it != pools_.end()) lost(*it->second, n, "closed here");
+    });
   link.h2.goaway();
   flush(link);
   link.stream->finish(kLinger);
@@ -303,7 +310,8 @@
     if (!other) {
       const auto waiting = std::move(pool.waiting);
       pool.waiting.clear();
-      for (const CallId id : waiting) end(id, ending_of_break(Break::no_connection, http2::ErrorCode::no_error, why));
+      for (const CallId id : waiting)
+        end(id, ending_of_break(Break::no_connection, http2::ErrorCode::no_error, why));
     }
   }
   pump(pool);
@@ -318,7 +326,8 @@
   if (call.link == nullptr) {
     Pool& pool = *call.pool;
     pool.waiting.erase(std::find(pool.waiting.begin(), pool.waiting.end(), id));
-    const bool standing = std::any_of(pool.links.begin(), pool.links.end(), [](const auto& l) { return l.second->standing; });
+    const bool standing =
+        std::any_of(pool.links.begin(), pool.links.end(), [](const auto& l) { return l.second->standing; });
     how = standing ? Recalled::waiting : Recalled::connecting;
     calls_.erase(it);
     return how;
--- a/src/gateway/back.hpp
+++ b/src/gateway/back.hpp
@@ -22,7 +22,8 @@
 class Back final : public relay::Transport {
  public:
   // The seam for TLS with ALPN.
-  using Connector = std::function<std::unique_ptr<net::Stream>(const net::Address& to, Time timeout, net::Stream::Handlers)>;
+  using Connector = std::function<std::unique_ptr<net::Stream>(const net::Address& to, Time timeout,
+                                                               net::Stream::Handlers)>;
   struct Host {
     std::function<void(relay::CallId, relay::Ending)> ended;
     std::function<void(const EndpointId&, Outcome, Time latency)> probe_ended;
@@ -81,7 +82,8 @@
   bool has_room(const Link& link) const;
   void submit(Link& link, CallId id);
   void end(CallId id, relay::Ending ending);
-  void end_stream(Link& link, http2::StreamId stream, Break how, http2::ErrorCode code, const std::string& why);
+  void end_stream(Link& link, http2::StreamId stream, Break how, http2::ErrorCode code,
+                  const std::string& why);
   void lost(Pool& pool, std::uint64_t link, const std::string& why);
   void close_link(Link& link);
   void settle(Pool& pool, Link& link);
--- a/src/gateway/front.cpp
+++ b/src/gateway/front.cpp
@@ -61,7 +61,8 @@
 
 void Front::accept(net::Fd fd) {
   // At the cap further connections wait in the backlog until another one ends: see close().
-  if (clients_.size() + 1 >= static_cast<std::size_t>(settings_.client_connections_max)) listener_->pause(true);
+  if (clients_.size() + 1 >= static_cast<std::size_t>(settings_.client_connections_max))
+    listener_->pause(true);
   http2::LocalSettings local;
   local.max_concurrent_streams = static_cast<std::uint32_t>(settings_.client_streams_max);
   auto client = std::make_unique<Client>(local);
@@ -186,7 +187,8 @@
   auto rejection = intake_.check(request, r.message);
   const auto length = http2::find_header(e.headers, "content-length");
   if (!rejection && !length.empty())
-    rejection = intake_.check_body(length.size() > 12 ? std::numeric_limits<std::size_t>::max() : std::stoull(std::string(length)));
+    rejection = intake_.check_body(length.size() > 12 ? std::numeric_limits<std::size_t>::max()
+                                                      : std::stoull(std::string(length)));
   if (rejection) return bad(status_of(rejection->why), rejection->detail);
   c.coming[e.stream] = std::move(r);
   if (e.end_stream) complete(c, e.stream);
@@ -208,8 +210,10 @@
   if (taken == relay::Core::Taken::yes) return;
   c.taken.erase(stream);
   places_.erase(id);
-  answer_problem(c, stream, {503, title_of(503), taken == relay::Core::Taken::full ? "the relay holds all it may; not taken"
-                                                                                   : "the relay is stopping; not taken"});
+  answer_problem(c, stream,
+                 {503, title_of(503),
+                  taken == relay::Core::Taken::full ? "the relay holds all it may; not taken"
+                                                    : "the relay is stopping; not taken"});
 }
 
 void Front::drop_request(Client& c, http2::StreamId stream) {
@@ -225,7 +229,8 @@
 }
 
 void Front::answer_problem(Client& c, http2::StreamId stream, const Problem& p, http2::Headers extra) {
-  http2::Headers headers = {{":status", std::to_string(p.status)}, {"content-type", "application/problem+json"}};
+  http2::Headers headers = {{":status", std::to_string(p.status)},
+                            {"content-type", "application/problem+json"}};
   headers.insert(headers.end(), extra.begin(), extra.end());
   answer(c, stream, std::move(headers), problem_body(p, "", "", "", 0));
 }
@@ -252,7 +257,8 @@
   http2::Headers headers = {{":status", "503"}, {"content-type", "application/problem+json"}};
   if (come_back > 0) headers.push_back({"retry-after", retry_after(come_back)});
   const auto& name = settings_.names.classes[static_cast<std::size_t>(account.message_class)];
-  final_answer(id, std::move(headers), problem_body(p, message_name(id), name, account.last, account.attempts));
+  final_answer(id, std::move(headers),
+               problem_body(p, message_name(id), name, account.last, account.attempts));
 }
 
 void Front::failed(MessageId id, const relay::Account& account) {
@@ -269,8 +275,8 @@
   stopping_ = true;
   listener_.reset();
   for (auto& [id, c] : clients_) {
-    // RFC 9113 section 6.8: announced first; once the client has heard of it (it answers the PING) the last stream
-    // is fixed. Requests that come in between are answered as not taken.
+    // RFC 9113 section 6.8: announced first; once the client has heard of it (it answers the PING) the last
+    // stream is fixed. Requests that come in between are answered as not taken.
     c->h2.announce_shutdown();
     c->h2.ping("draining");
     flush(*c);
@@ -303,7 +309,8 @@
   std::vector<ClientId> stalled;
   for (auto& [id, c] : clients_) {
     const bool owed = c->stream->queued() > c->stream->flushed() || c->h2.unsent_body() > 0;
-    if (!owed || c->stream->flushed() != c->flushed_seen) c->progress_at = now, c->flushed_seen = c->stream->flushed();
+    if (!owed || c->stream->flushed() != c->flushed_seen)
+      c->progress_at = now, c->flushed_seen = c->stream->flushed();
     if (now - c->progress_at > limit) {
       stalled.push_back(id);
       continue;
--- a/src/gateway/semantics.cpp
+++ b/src/gateway/semantics.cpp
@@ -10,8 +10,8 @@
 namespace cedarplank::gateway {
 namespace {
 
-constexpr std::int64_t kLongestWait = 24 * 3600;               // seconds of a told wait that are believed
-constexpr std::int64_t kLongestTtl = 10LL * 365 * 24 * 3600;   // seconds
+constexpr std::int64_t kLongestWait = 24 * 3600;              // seconds of a told wait that are believed
+constexpr std::int64_t kLongestTtl = 10LL * 365 * 24 * 3600;  // seconds
 
 std::optional<std::int64_t> whole_number(std::string_view text) {
   std::int64_t v = 0;
@@ -23,7 +23,10 @@
 }
 
 int hex_digit(char c) {
-  return c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+  return c >= '0' && c <= '9'   ? c - '0'
+         : c >= 'a' && c <= 'f' ? c - 'a' + 10
+         : c >= 'A' && c <= 'F' ? c - 'A' + 10
+                                : -1;
 }
 std::optional<std::string> percent_decoded(std::string_view text) {
   std::string out;
@@ -43,7 +46,8 @@
 
 std::optional<std::int64_t> parse_http_date(std::string_view text) {
   const std::string t(text);
-  for (const char* form : {"%a, %d %b %Y %H:%M:%S GMT", "%A, %d-%b-%y %H:%M:%S GMT", "%a %b %e %H:%M:%S %Y"}) {
+  for (const char* form :
+       {"%a, %d %b %Y %H:%M:%S GMT", "%A, %d-%b-%y %H:%M:%S GMT", "%a %b %e %H:%M:%S %Y"}) {
     tm parts{};
     const char* end = strptime(t.c_str(), form, &parts);
     if (end != nullptr && *end == 0) return timegm(&parts);
@@ -62,7 +66,8 @@
   return std::clamp<std::int64_t>(seconds, 0, kLongestWait) * 1'000'000;
 }
 
-relay::Ending ending_of_response(const http2::Headers& headers, const config::KindWire& kind, std::int64_t wall) {
+relay::Ending ending_of_response(const http2::Headers& headers, const config::KindWire& kind,
+                                 std::int64_t wall) {
   relay::Ending e;
   const auto status = http2::find_header(headers, ":status");
   e.what = "status " + std::string(status);
@@ -75,7 +80,8 @@
     e.outcome = Outcome::error;  // it may have taken effect
   }
   // A wait is a wait whatever the status says.
-  e.told_wait = parse_retry_after(http2::find_header(headers, "retry-after"), http2::find_header(headers, "date"), wall);
+  e.told_wait = parse_retry_after(http2::find_header(headers, "retry-after"),
+                                  http2::find_header(headers, "date"), wall);
   // Load report, from the RateLimit fields that gateways send: the quota and what is left of it.
   const auto limit = whole_number(http2::find_header(headers, "ratelimit-limit"));
   const auto left = whole_number(http2::find_header(headers, "ratelimit-remaining"));
@@ -116,8 +122,10 @@
   if (path.substr(0, kPrefix.size()) != kPrefix) return std::nullopt;
   path.remove_prefix(kPrefix.size());
   const auto slash = path.find('/');
-  if (slash == std::string_view::npos || path.find('/', slash + 1) != std::string_view::npos) return std::nullopt;
-  const auto destination = percent_decoded(path.substr(0, slash)), cls = percent_decoded(path.substr(slash + 1));
+  if (slash == std::string_view::npos || path.find('/', slash + 1) != std::string_view::npos)
+    return std::nullopt;
+  const auto destination = percent_decoded(path.substr(0, slash)),
+             cls = percent_decoded(path.substr(slash + 1));
   if (!destination || !cls || destination->empty() || cls->empty()) return std::nullopt;
   return PushTarget{*destination, *cls};
 }
@@ -150,6 +158,8 @@
   return {buffer.GetString(), buffer.GetSize()};
 }
 
-std::string retry_after(Time come_back) { return std::to_string(std::max<Time>(1, (come_back + 999'999) / 1'000'000)); }
+std::string retry_after(Time come_back) {
+  return std::to_string(std::max<Time>(1, (come_back + 999'999) / 1'000'000));
+}
 
 }  // namespace cedarplank::gateway
--- a/src/gateway/semantics.hpp
+++ b/src/gateway/semantics.hpp
@@ -22,11 +22,12 @@
 };
 
 // The outcome of a final response. `wall` is the time of day in seconds since 1970, for Retry-After dates.
-relay::Ending ending_of_response(const http2::Headers& headers, const config::KindWire& kind, std::int64_t wall);
+relay::Ending ending_of_response(const http2::Headers& headers, const config::KindWire& kind,
+                                 std::int64_t wall);
 relay::Ending ending_of_break(Break how, http2::ErrorCode code, const std::string& why);
 
-// RFC 9110 section 10.2.3: seconds, or a date, counted from the answer's Date where it has one. In us; 0 where
-// there is none or it makes no sense. At most a day is believed.
+// RFC 9110 section 10.2.3: seconds, or a date, counted from the answer's Date where it has one. In us; 0
+// where there is none or it makes no sense. At most a day is believed.
 Time parse_retry_after(std::string_view value, std::string_view date, std::int64_t wall);
 // RFC 9110 section 5.6.7, in all three forms. Seconds since 1970.
 std::optional<std::int64_t> parse_http_date(std::string_view text);
--- a/src/http2/connection.cpp
+++ b/src/http2/connection.cpp
@@ -50,7 +50,8 @@
   std::vector<std::pair<Setting, std::uint32_t>> settings = {
       {Setting::initial_window_size, local.initial_window_size},
       {Setting::max_header_list_size, local.max_header_list_size}};
-  if (local.header_table_size != 4096) settings.emplace_back(Setting::header_table_size, local.header_table_size);
+  if (local.header_table_size != 4096)
+    settings.emplace_back(Setting::header_table_size, local.header_table_size);
   if (local.max_frame_size != 16'384) settings.emplace_back(Setting::max_frame_size, local.max_frame_size);
   if (role == Role::client)
     settings.emplace_back(Setting::enable_push, 0);
@@ -118,7 +119,9 @@
   streams_.erase(it);
 }
 
-bool Connection::idle_stream(StreamId id) const { return mine(id) ? id >= next_stream_ : id > last_peer_stream_; }
+bool Connection::idle_stream(StreamId id) const {
+  return mine(id) ? id >= next_stream_ : id > last_peer_stream_;
+}
 
 bool Connection::control_frame() {
   if (control_.take(now_, limits_.control_burst, limits_.control_per_s)) return true;
@@ -175,7 +178,8 @@
       return on_headers(h, payload);
     case FrameType::priority:
       // Section 6.3; deprecated, so only its form is checked.
-      if (h.stream == 0) return connection_error(ErrorCode::protocol_error, "PRIORITY on stream 0 (section 6.3)");
+      if (h.stream == 0)
+        return connection_error(ErrorCode::protocol_error, "PRIORITY on stream 0 (section 6.3)");
       if (h.length != 5) {
         if (idle_stream(h.stream))
           return connection_error(ErrorCode::frame_size_error, "PRIORITY of a wrong length (section 6.3)");
@@ -203,7 +207,8 @@
 
 bool Connection::unpad(const FrameHeader& h, std::string_view& payload) {
   if (!h.has(flag::padded)) return true;
-  if (payload.empty()) return connection_error(ErrorCode::frame_size_error, "padding without its length (section 6.1)");
+  if (payload.empty())
+    return connection_error(ErrorCode::frame_size_error, "padding without its length (section 6.1)");
   const std::size_t padding = static_cast<unsigned char>(payload[0]);
   payload.remove_prefix(1);
   if (padding > payload.size())
@@ -214,10 +219,12 @@
 
 bool Connection::on_data(const FrameHeader& h, std::string_view payload) {
   if (h.stream == 0) return connection_error(ErrorCode::protocol_error, "DATA on stream 0 (section 6.1)");
-  if (idle_stream(h.stream)) return connection_error(ErrorCode::protocol_error, "DATA on an idle stream (section 5.1)");
+  if (idle_stream(h.stream))
+    return connection_error(ErrorCode::protocol_error, "DATA on an idle stream (section 5.1)");
   // Section 6.9.1: the whole frame counts for both windows, padding included, even on closed streams.
   if (static_cast<std::int64_t>(h.length) > receive_window_)
-    return connection_error(ErrorCode::flow_control_error, "DATA beyond the connection's window (section 6.9.1)");
+    return connection_error(ErrorCode::flow_control_error,
+                            "DATA beyond the connection's window (section 6.9.1)");
   receive_window_ -= h.length, unacked_ += h.length;
   if (unacked_ * 2 >= static_cast<std::int64_t>(local_.connection_window)) {
     put_window_update(0, static_cast<std::uint32_t>(unacked_), out_);
@@ -283,7 +290,8 @@
   if (!unpad(h, payload)) return false;
   if (h.has(flag::priority)) {
     if (payload.size() < 5)
-      return connection_error(ErrorCode::frame_size_error, "HEADERS too short for its priority (section 6.2)");
+      return connection_error(ErrorCode::frame_size_error,
+                              "HEADERS too short for its priority (section 6.2)");
     payload.remove_prefix(5);
   }
   if (mine(h.stream) && idle_stream(h.stream))
@@ -304,7 +312,8 @@
   // Section 10.5: a header block without end is an attack; its size and its frames are bounded.
   if (++continuations_ > limits_.continuations)
     return connection_error(ErrorCode::enhance_your_calm, "too many CONTINUATION frames (section 10.5)");
-  if (block_.size() + payload.size() > 2 * static_cast<std::size_t>(local_.max_header_list_size) + local_.max_frame_size)
+  if (block_.size() + payload.size() >
+      2 * static_cast<std::size_t>(local_.max_header_list_size) + local_.max_frame_size)
     return connection_error(ErrorCode::enhance_your_calm, "a header block is too large (section 10.5.1)");
   block_.append(payload);
   if (!h.has(flag::end_headers)) return true;
@@ -328,7 +337,8 @@
       // Section 5.1, closed.
       return connection_error(ErrorCode::stream_closed, "HEADERS on a closed stream (section 5.1)");
     }
-    if (id % 2 == 0) return connection_error(ErrorCode::protocol_error, "an even stream by a client (section 5.1.1)");
+    if (id % 2 == 0)
+      return connection_error(ErrorCode::protocol_error, "an even stream by a client (section 5.1.1)");
     if (goaway_sent_ && id > goaway_last_sent_) {  // section 6.8: dropped, the peer knows it was not taken
       last_peer_stream_ = id;
       forget_reset(id);
@@ -345,7 +355,8 @@
     Stream s;
     s.send_window = peer_initial_window_;
     // Until it has acknowledged our SETTINGS the peer may still count from the default (section 6.9.3).
-    s.receive_window = local_acked_ ? local_.initial_window_size : std::max(65'535u, local_.initial_window_size);
+    s.receive_window =
+        local_acked_ ? local_.initial_window_size : std::max(65'535u, local_.initial_window_size);
     it = streams_.emplace(id, std::move(s)).first;
     peer_streams_++;
   }
@@ -438,19 +449,23 @@
   if (role_ == Role::server) {
     if (method != 1) return ":method must be there once (section 8.3.1)";
     if (method_value == "CONNECT")
-      return scheme == 0 && path == 0 && authority == 1 ? nullptr : "CONNECT with wrong pseudo-headers (section 8.5)";
+      return scheme == 0 && path == 0 && authority == 1 ? nullptr
+                                                        : "CONNECT with wrong pseudo-headers (section 8.5)";
     if (scheme != 1 || path != 1 || path_value.empty() || authority > 1)
       return ":scheme and :path must be there once (section 8.3.1)";
     return nullptr;
   }
   const bool three = status_value.size() == 3 && std::all_of(status_value.begin(), status_value.end(),
                                                              [](char c) { return c >= '0' && c <= '9'; });
-  return status == 1 && three && status_value[0] != '0' ? nullptr : ":status must be there once (section 8.3.2)";
+  return status == 1 && three && status_value[0] != '0' ? nullptr
+                                                        : ":status must be there once (section 8.3.2)";
 }
 
 bool Connection::on_rst_stream(const FrameHeader& h, std::string_view payload) {
-  if (h.stream == 0) return connection_error(ErrorCode::protocol_error, "RST_STREAM on stream 0 (section 6.4)");
-  if (h.length != 4) return connection_error(ErrorCode::frame_size_error, "RST_STREAM of a wrong length (section 6.4)");
+  if (h.stream == 0)
+    return connection_error(ErrorCode::protocol_error, "RST_STREAM on stream 0 (section 6.4)");
+  if (h.length != 4)
+    return connection_error(ErrorCode::frame_size_error, "RST_STREAM of a wrong length (section 6.4)");
   if (idle_stream(h.stream))
     return connection_error(ErrorCode::protocol_error, "RST_STREAM on an idle stream (section 6.4)");
   if (role_ == Role::server && !resets_.take(now_, limits_.resets_burst, limits_.resets_per_s))
@@ -466,7 +481,8 @@
 bool Connection::on_settings(const FrameHeader& h, std::string_view payload) {
   if (h.stream != 0) return connection_error(ErrorCode::protocol_error, "SETTINGS on a stream (section 6.5)");
   if (h.has(flag::ack)) {
-    if (h.length != 0) return connection_error(ErrorCode::frame_size_error, "SETTINGS ACK with a payload (section 6.5)");
+    if (h.length != 0)
+      return connection_error(ErrorCode::frame_size_error, "SETTINGS ACK with a payload (section 6.5)");
     if (!peer_settings_seen_)
       return connection_error(ErrorCode::protocol_error, "the first frame is an ACK (section 3.4)");
     if (!local_acked_) {
@@ -475,7 +491,8 @@
     }
     return control_frame();
   }
-  if (h.length % 6 != 0) return connection_error(ErrorCode::frame_size_error, "SETTINGS of a wrong length (section 6.5)");
+  if (h.length % 6 != 0)
+    return connection_error(ErrorCode::frame_size_error, "SETTINGS of a wrong length (section 6.5)");
   if (h.length / 6 > limits_.settings_entries)
     return connection_error(ErrorCode::enhance_your_calm, "too many entries in SETTINGS (section 10.5)");
   for (std::size_t at = 0; at < payload.size(); at += 6) {
@@ -494,25 +511,28 @@
         break;
       case Setting::initial_window_size: {
         if (value > kMaxWindow)
-          return connection_error(ErrorCode::flow_control_error, "SETTINGS_INITIAL_WINDOW_SIZE is too large (section 6.5.2)");
+          return connection_error(ErrorCode::flow_control_error,
+                                  "SETTINGS_INITIAL_WINDOW_SIZE is too large (section 6.5.2)");
         // Section 6.9.2: all streams move by the difference, below zero too.
         const std::int64_t change = static_cast<std::int64_t>(value) - peer_initial_window_;
         peer_initial_window_ = value;
         for (auto& [id, s] : streams_) {
           s.send_window += change;
           if (s.send_window > kMaxWindow)
-            return connection_error(ErrorCode::flow_control_error, "a window grows too large (section 6.9.2)");
+            return connection_error(ErrorCode::flow_control_error,
+                                    "a window grows too large (section 6.9.2)");
         }
         break;
       }
       case Setting::max_frame_size:
         if (value < 16'384 || value > 16'777'215)
-          return connection_error(ErrorCode::protocol_error, "SETTINGS_MAX_FRAME_SIZE is wrong (section 6.5.2)");
+          return connection_error(ErrorCode::protocol_error,
+                                  "SETTINGS_MAX_FRAME_SIZE is wrong (section 6.5.2)");
         peer_max_frame_ = value;
         break;
       case Setting::max_header_list_size:
         break;  // advisory; what this side sends is far below what any peer must take
-    }  // section 6.5.2: unknown settings are ignored
+    }           // section 6.5.2: unknown settings are ignored
   }
   put_frame(FrameType::settings, flag::ack, 0, {}, out_);
   if (!peer_settings_seen_) {
@@ -529,7 +549,8 @@
 
 bool Connection::on_ping(const FrameHeader& h, std::string_view payload) {
   if (h.stream != 0) return connection_error(ErrorCode::protocol_error, "PING on a stream (section 6.7)");
-  if (h.length != 8) return connection_error(ErrorCode::frame_size_error, "PING of a wrong length (section 6.7)");
+  if (h.length != 8)
+    return connection_error(ErrorCode::frame_size_error, "PING of a wrong length (section 6.7)");
   if (!control_frame()) return false;
   if (h.has(flag::ack)) {
     emit(Event::Type::ping_ack, 0).data.assign(payload);
@@ -543,7 +564,8 @@
 
 bool Connection::on_goaway(const FrameHeader& h, std::string_view payload) {
   if (h.stream != 0) return connection_error(ErrorCode::protocol_error, "GOAWAY on a stream (section 6.8)");
-  if (h.length < 8) return connection_error(ErrorCode::frame_size_error, "GOAWAY of a wrong length (section 6.8)");
+  if (h.length < 8)
+    return connection_error(ErrorCode::frame_size_error, "GOAWAY of a wrong length (section 6.8)");
   const StreamId last = read_u32(payload, 0) & kMaxStream;
   const auto code = static_cast<ErrorCode>(read_u32(payload, 4));
   if (goaway_received_ && last > goaway_last_received_)
@@ -569,10 +591,12 @@
     return connection_error(ErrorCode::frame_size_error, "WINDOW_UPDATE of a wrong length (section 6.9)");
   const std::int64_t increment = read_u32(payload, 0) & kMaxStream;
   if (h.stream == 0) {
-    if (increment == 0) return connection_error(ErrorCode::protocol_error, "WINDOW_UPDATE of 0 (section 6.9)");
+    if (increment == 0)
+      return connection_error(ErrorCode::protocol_error, "WINDOW_UPDATE of 0 (section 6.9)");
     send_window_ += increment;
     if (send_window_ > kMaxWindow)
-      return connection_error(ErrorCode::flow_control_error, "the connection's window grows too large (section 6.9.1)");
+      return connection_error(ErrorCode::flow_control_error,
+                              "the connection's window grows too large (section 6.9.1)");
     send_pending();
     return true;
   }
@@ -587,7 +611,8 @@
   Stream& s = it->second;
   s.send_window += increment;
   if (s.send_window > kMaxWindow) {
-    stream_error(h.stream, ErrorCode::flow_control_error, "a stream's window grows too large (section 6.9.1)");
+    stream_error(h.stream, ErrorCode::flow_control_error,
+                 "a stream's window grows too large (section 6.9.1)");
     return true;
   }
   // An update that lets nothing go is cheap to send in floods.
@@ -604,21 +629,24 @@
   for (bool first = true; first || !rest.empty(); first = false) {
     const auto part = rest.substr(0, peer_max_frame_);
     rest.remove_prefix(part.size());
-    const std::uint8_t flags = static_cast<std::uint8_t>((rest.empty() ? flag::end_headers : 0) | (first ? end : 0));
+    const std::uint8_t flags =
+        static_cast<std::uint8_t>((rest.empty() ? flag::end_headers : 0) | (first ? end : 0));
     put_frame(first ? FrameType::headers : FrameType::continuation, flags, id, part, out_);
   }
 }
 
 void Connection::send_body(StreamId id, Stream& s) {
   while (s.body_at < s.body.size()) {
-    const std::int64_t room = std::min({send_window_, s.send_window, static_cast<std::int64_t>(peer_max_frame_)});
+    const std::int64_t room =
+        std::min({send_window_, s.send_window, static_cast<std::int64_t>(peer_max_frame_)});
     if (room <= 0) {
       pending_.insert(id);
       return;
     }
     const std::size_t n = std::min(static_cast<std::size_t>(room), s.body.size() - s.body_at);
     const bool end = s.body_at + n == s.body.size();
-    put_frame(FrameType::data, end ? flag::end_stream : 0, id, std::string_view(s.body).substr(s.body_at, n), out_);
+    put_frame(FrameType::data, end ? flag::end_stream : 0, id, std::string_view(s.body).substr(s.body_at, n),
+              out_);
     s.body_at += n, unsent_body_ -= n;
     send_window_ -= static_cast<std::int64_t>(n), s.send_window -= static_cast<std::int64_t>(n);
   }
@@ -646,8 +674,8 @@
 }
 
 bool Connection::can_request() const {
-  return role_ == Role::client && !failed_ && !goaway_received_ && !goaway_sent_ && next_stream_ <= kMaxStream &&
-         streams_.size() < peer_max_streams_;
+  return role_ == Role::client && !failed_ && !goaway_received_ && !goaway_sent_ &&
+         next_stream_ <= kMaxStream && streams_.size() < peer_max_streams_;
 }
 
 StreamId Connection::request(const Headers& headers, std::string_view body) {
@@ -656,7 +684,8 @@
   next_stream_ += 2;
   Stream& s = streams_[id];
   s.send_window = peer_initial_window_;
-  s.receive_window = local_acked_ ? local_.initial_window_size : std::max(65'535u, local_.initial_window_size);
+  s.receive_window =
+      local_acked_ ? local_.initial_window_size : std::max(65'535u, local_.initial_window_size);
   s.head_request = find_header(headers, ":method") == "HEAD";
   write_headers(id, headers, body.empty());
   s.body.assign(body), unsent_body_ += body.size();
--- a/src/http2/connection.hpp
+++ b/src/http2/connection.hpp
@@ -34,25 +34,27 @@
 
 // Against floods: what a peer may do in one go, and how much of it a second for ever.
 struct Limits {
-  double resets_burst = 400, resets_per_s = 100;       // RST_STREAM by the peer (rapid reset), and its refused streams
-  double control_burst = 1000, control_per_s = 200;    // SETTINGS, PING, PRIORITY, unknown and empty DATA frames
-  std::uint32_t settings_entries = 64;                 // in one SETTINGS frame
-  std::uint32_t continuations = 16;                    // of one header block
-  std::size_t unsent_replies = 1000;                   // acknowledgements that the peer doesn't read
-  std::size_t trailers_and_interim = 16;               // header blocks on one stream
+  double resets_burst = 400,
+         resets_per_s = 100;  // RST_STREAM by the peer (rapid reset), and its refused streams
+  double control_burst = 1000,
+         control_per_s = 200;             // SETTINGS, PING, PRIORITY, unknown and empty DATA frames
+  std::uint32_t settings_entries = 64;    // in one SETTINGS frame
+  std::uint32_t continuations = 16;       // of one header block
+  std::size_t unsent_replies = 1000;      // acknowledgements that the peer doesn't read
+  std::size_t trailers_and_interim = 16;  // header blocks on one stream
 };
 
 struct Event {
   enum class Type {
-    settings,      // the peer's first SETTINGS: the connection stands in the sense of section 3.4
-    headers,       // a request (server) or a final response (client)
-    data,          // bytes of its body; may be empty with end_stream
-    trailers,      // a field section after the body; always with end_stream
-    reset,         // the stream is over: by the peer, or here after a violation (`local`)
-    unprocessed,   // the peer's GOAWAY proves that it never took this stream (section 6.8)
-    goaway,        // the peer takes no new streams; `stream` is its last one
+    settings,     // the peer's first SETTINGS: the connection stands in the sense of section 3.4
+    headers,      // a request (server) or a final response (client)
+    data,         // bytes of its body; may be empty with end_stream
+    trailers,     // a field section after the body; always with end_stream
+    reset,        // the stream is over: by the peer, or here after a violation (`local`)
+    unprocessed,  // the peer's GOAWAY proves that it never took this stream (section 6.8)
+    goaway,       // the peer takes no new streams; `stream` is its last one
     ping_ack,
-    failed         // connection error, by either side; nothing comes after it
+    failed  // connection error, by either side; nothing comes after it
   };
   Type type{};
   StreamId stream = 0;
@@ -157,7 +159,7 @@
   Streams streams_;
   std::size_t peer_streams_ = 0;  // of streams_, those that the peer opened
   StreamId next_stream_, last_peer_stream_ = 0;
-  std::set<StreamId> pending_;       // streams with a body that waits for a window
+  std::set<StreamId> pending_;        // streams with a body that waits for a window
   StreamId last_served_pending_ = 0;  // where the round robin goes on
   std::size_t unsent_body_ = 0;
   std::deque<StreamId> reset_order_;  // streams that this side reset of late: frames may still be on the way
--- a/src/http2/frame.cpp
+++ b/src/http2/frame.cpp
@@ -3,18 +3,28 @@
 namespace cedarplank::http2 {
 
 const char* name_of(ErrorCode code) {
-  static constexpr const char* kNames[] = {"NO_ERROR",           "PROTOCOL_ERROR",      "INTERNAL_ERROR",
-                                           "FLOW_CONTROL_ERROR", "SETTINGS_TIMEOUT",    "STREAM_CLOSED",
-                                           "FRAME_SIZE_ERROR",   "REFUSED_STREAM",      "CANCEL",
-                                           "COMPRESSION_ERROR",  "CONNECT_ERROR",       "ENHANCE_YOUR_CALM",
-                                           "INADEQUATE_SECURITY", "HTTP_1_1_REQUIRED"};
+  static constexpr const char* kNames[] = {"NO_ERROR",
+                                           "PROTOCOL_ERROR",
+                                           "INTERNAL_ERROR",
+                                           "FLOW_CONTROL_ERROR",
+                                           "SETTINGS_TIMEOUT",
+                                           "STREAM_CLOSED",
+                                           "FRAME_SIZE_ERROR",
+                                           "REFUSED_STREAM",
+                                           "CANCEL",
+                                           "COMPRESSION_ERROR",
+                                           "CONNECT_ERROR",
+                                           "ENHANCE_YOUR_CALM",
+                                           "INADEQUATE_SECURITY",
+                                           "HTTP_1_1_REQUIRED"};
   const auto i = static_cast<std::uint32_t>(code);
   return i < std::size(kNames) ? kNames[i] : "an unknown code";
 }
 
 const char* name_of(FrameType type) {
-  static constexpr const char* kNames[] = {"DATA",         "HEADERS", "PRIORITY", "RST_STREAM",    "SETTINGS",
-                                           "PUSH_PROMISE", "PING",    "GOAWAY",   "WINDOW_UPDATE", "CONTINUATION"};
+  static constexpr const char* kNames[] = {"DATA",          "HEADERS",      "PRIORITY", "RST_STREAM",
+                                           "SETTINGS",      "PUSH_PROMISE", "PING",     "GOAWAY",
+                                           "WINDOW_UPDATE", "CONTINUATION"};
   const auto i = static_cast<std::uint8_t>(type);
   return i < std::size(kNames) ? kNames[i] : "UNKNOWN";
 }
@@ -29,7 +39,8 @@
   return h;
 }
 
-void put_frame(FrameType type, std::uint8_t flags, StreamId stream, std::string_view payload, std::string& out) {
+void put_frame(FrameType type, std::uint8_t flags, StreamId stream, std::string_view payload,
+               std::string& out) {
   put_u32(static_cast<std::uint32_t>(payload.size()) << 8 | static_cast<std::uint32_t>(type), out);
   out.push_back(static_cast<char>(flags));
   put_u32(stream, out);
--- a/src/http2/frame.hpp
+++ b/src/http2/frame.hpp
@@ -72,11 +72,14 @@
 };
 
 inline std::uint32_t read_u32(std::string_view b, std::size_t at) {
-  const auto u = [&](std::size_t i) { return static_cast<std::uint32_t>(static_cast<unsigned char>(b[at + i])); };
+  const auto u = [&](std::size_t i) {
+    return static_cast<std::uint32_t>(static_cast<unsigned char>(b[at + i]));
+  };
   return u(0) << 24 | u(1) << 16 | u(2) << 8 | u(3);
 }
 inline std::uint16_t read_u16(std::string_view b, std::size_t at) {
-  return static_cast<std::uint16_t>(static_cast<unsigned char>(b[at]) << 8 | static_cast<unsigned char>(b[at + 1]));
+  return static_cast<std::uint16_t>(static_cast<unsigned char>(b[at]) << 8 |
+                                    static_cast<unsigned char>(b[at + 1]));
 }
 inline void put_u32(std::uint32_t v, std::string& out) {
   for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(v >> shift));
@@ -84,7 +87,8 @@
 
 // `bytes` holds at least kFrameHeader bytes from `at` on.
 FrameHeader parse_frame_header(std::string_view bytes, std::size_t at);
-void put_frame(FrameType type, std::uint8_t flags, StreamId stream, std::string_view payload, std::string& out);
+void put_frame(FrameType type, std::uint8_t flags, StreamId stream, std::string_view payload,
+               std::string& out);
 void put_settings(const std::vector<std::pair<Setting, std::uint32_t>>& settings, std::string& out);
 void put_goaway(StreamId last, ErrorCode code, std::string_view debug, std::string& out);
 void put_rst_stream(StreamId stream, ErrorCode code, std::string& out);
--- a/src/http2/hpack.cpp
+++ b/src/http2/hpack.cpp
@@ -88,8 +88,8 @@
 
 // Fields whose values hardly repeat, or give away secrets by their compressed size: not put into the table.
 bool worth_indexing(std::string_view name) {
-  return name != "content-length" && name != "date" && name != "idempotency-key" && name != "ttl" && name != "topic" &&
-         name != "location" && name != "retry-after" && name != "etag";
+  return name != "content-length" && name != "date" && name != "idempotency-key" && name != "ttl" &&
+         name != "topic" && name != "location" && name != "retry-after" && name != "etag";
 }
 
 }  // namespace
--- a/src/http2/huffman.cpp
+++ b/src/http2/huffman.cpp
@@ -83,7 +83,8 @@
   unsigned bits = 0;
   std::size_t at = 0;
   for (;;) {
-    while (bits <= 56 && at < code.size()) buffer = buffer << 8 | static_cast<unsigned char>(code[at++]), bits += 8;
+    while (bits <= 56 && at < code.size())
+      buffer = buffer << 8 | static_cast<unsigned char>(code[at++]), bits += 8;
     if (bits == 0) return true;
     if (bits >= kFastBits) {
       const auto entry = kTables.fast[buffer >> (bits - kFastBits) & ((1u << kFastBits) - 1)];
@@ -95,7 +96,8 @@
     }
     bool found = false;
     for (unsigned length = 5; length <= kMaxBits && length <= bits; length++) {
-      const auto value = static_cast<std::uint32_t>(buffer >> (bits - length) & ((std::uint64_t{1} << length) - 1));
+      const auto value =
+          static_cast<std::uint32_t>(buffer >> (bits - length) & ((std::uint64_t{1} << length) - 1));
       if (value < kTables.first[length] || value - kTables.first[length] >= kTables.count[length]) continue;
       const unsigned symbol = kTables.ordered[kTables.offset[length] + value - kTables.first[length]];
       if (symbol == kEos) return false;  // section 5.2: EOS in a string is an error
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -1,8 +1,8 @@
 // One event loop on poll(2), for one thread: descriptors, one-shot timers, deferred calls, and wake-ups from
 // other threads and from signals through a self-pipe.
 //
-// Times are in microseconds of CLOCK_MONOTONIC. Everything but post() and stop() belongs to the loop's thread.
-// Callbacks may add and remove anything, themselves included.
+// Times are in microseconds of CLOCK_MONOTONIC. Everything but post() and stop() belongs to the loop's
+// thread. Callbacks may add and remove anything, themselves included.
 #pragma once
 
 #include <poll.h>
@@ -38,7 +38,9 @@
   void change(int fd, short events);
   void unwatch(int fd);  // no callback for `fd` comes after this, not even one that is ready now
 
-  TimerId after(Time delay, Callback callback) { return timers_.add(monotonic_now() + delay, std::move(callback)); }
+  TimerId after(Time delay, Callback callback) {
+    return timers_.add(monotonic_now() + delay, std::move(callback));
+  }
   TimerId at(Time deadline, Callback callback) { return timers_.add(deadline, std::move(callback)); }
   bool cancel(TimerId id) { return timers_.cancel(id); }
 
@@ -65,8 +67,8 @@
   void run_deferred();
 
   TimerQueue timers_;
-  std::vector<pollfd> polled_;   // dense; polled_[0] is the self-pipe
-  std::vector<Watch> watches_;   // by descriptor
+  std::vector<pollfd> polled_;  // dense; polled_[0] is the self-pipe
+  std::vector<Watch> watches_;  // by descriptor
   std::uint64_t next_serial_ = 1;
   struct Ready {
     int fd;
--- a/src/loop/timers.hpp
+++ b/src/loop/timers.hpp
@@ -60,7 +60,8 @@
     }
   };
   void up(std::size_t i) {
-    while (i > 0 && heap_[i].before(heap_[(i - 1) / kWays])) swap_entries(i, (i - 1) / kWays), i = (i - 1) / kWays;
+    while (i > 0 && heap_[i].before(heap_[(i - 1) / kWays]))
+      swap_entries(i, (i - 1) / kWays), i = (i - 1) / kWays;
   }
   void down(std::size_t i) {
     for (;;) {
@@ -107,7 +108,8 @@
       free_ = nodes_[n].next;
     }
     Node& node = nodes_[n];
-    node.tick = std::max(base_ + 1, static_cast<std::uint64_t>(std::max<Time>(deadline, 0) + kTick - 1) / kTick);
+    node.tick =
+        std::max(base_ + 1, static_cast<std::uint64_t>(std::max<Time>(deadline, 0) + kTick - 1) / kTick);
     node.callback = std::move(callback);
     node.live = true;
     link(n);
@@ -171,7 +173,10 @@
     const std::uint64_t most = (std::uint64_t{1} << (kBits * kLevels)) - 1;
     const std::uint64_t tick = std::min(nodes_[n].tick, base_ + most);
     const std::uint64_t apart = tick ^ base_;
-    const unsigned level = apart == 0 ? 0 : std::min<unsigned>(kLevels - 1, (63u - static_cast<unsigned>(std::countl_zero(apart))) / kBits);
+    const unsigned level =
+        apart == 0
+            ? 0
+            : std::min<unsigned>(kLevels - 1, (63u - static_cast<unsigned>(std::countl_zero(apart))) / kBits);
     const auto slot = level * kSlots + static_cast<std::uint32_t>((tick >> (level * kBits)) & kMask);
     push(n, tick <= base_ ? kDueList : slot);
   }
--- a/src/net/datagram.cpp
+++ b/src/net/datagram.cpp
@@ -23,7 +23,8 @@
 Datagrams::~Datagrams() { loop_.unwatch(fd_.get()); }
 
 void Datagrams::send(const Address& to, std::string_view bytes) {
-  [[maybe_unused]] const auto n = sendto(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, to.data(), to.size());
+  [[maybe_unused]] const auto n =
+      sendto(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, to.data(), to.size());
 }
 
 }  // namespace cedarplank::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -28,14 +28,16 @@
 
 Address Address::parse(const std::string& text) {
   const auto bad = [&](const char* why) {
-    throw std::invalid_argument("address '" + text + "': " + why + " (expected 127.0.0.1:PORT or [::1]:PORT)");
+    throw std::invalid_argument("address '" + text + "': " + why +
+                                " (expected 127.0.0.1:PORT or [::1]:PORT)");
   };
   const auto colon = text.rfind(':');
   if (colon == std::string::npos) bad("has no port");
   unsigned port = 0;
   const char *first = text.data() + colon + 1, *last = text.data() + text.size();
   const auto [end, error] = std::from_chars(first, last, port);
-  if (error != std::errc() || end != last || first == last || port > 65535) bad("the port is no number up to 65535");
+  if (error != std::errc() || end != last || first == last || port > 65535)
+    bad("the port is no number up to 65535");
   std::string host = text.substr(0, colon);
   Address a;
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
@@ -191,7 +193,8 @@
 
 void TcpStream::update_events() {
   if (!fd_ || connecting_) return;
-  const short wanted = static_cast<short>((paused_ && !finishing_ ? 0 : POLLIN) | (out_at_ < out_.size() ? POLLOUT : 0));
+  const short wanted =
+      static_cast<short>((paused_ && !finishing_ ? 0 : POLLIN) | (out_at_ < out_.size() ? POLLOUT : 0));
   if (wanted == events_) return;
   events_ = wanted;
   loop_.change(fd_.get(), wanted);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -59,9 +59,9 @@
 class Stream {
  public:
   struct Handlers {
-    std::function<void()> connected;               // the connection stands (only after connecting)
-    std::function<void(std::string_view)> data;    // bytes came
-    std::function<void()> drained;                 // everything written has been handed to the kernel
+    std::function<void()> connected;                 // the connection stands (only after connecting)
+    std::function<void(std::string_view)> data;      // bytes came
+    std::function<void()> drained;                   // everything written has been handed to the kernel
     std::function<void(const std::string&)> closed;  // the end: why; nothing comes after it
   };
   virtual ~Stream() = default;
--- a/src/node/list_file.cpp
+++ b/src/node/list_file.cpp
@@ -21,7 +21,8 @@
 void ListFile::start() {
   const Stamp stamp = stamp_of(settings_.partners_file);
   try {
-    const auto list = config::parse_partners(settings_.partners_file, config::read_file(settings_.partners_file), settings_.names);
+    const auto list = config::parse_partners(settings_.partners_file,
+                                             config::read_file(settings_.partners_file), settings_.names);
     seen_ = stamp;
     host_.list(list, false);
     keep(list);
@@ -29,7 +30,9 @@
     // A relay that starts while the list is out of reach goes by the last one that it kept.
     if (settings_.partners_cache.empty()) throw;
     std::string why = e.what();
-    host_.list(config::parse_partners(settings_.partners_cache, config::read_file(settings_.partners_cache), settings_.names), true);
+    host_.list(config::parse_partners(settings_.partners_cache, config::read_file(settings_.partners_cache),
+                                      settings_.names),
+               true);
     complaint_ = why;
     host_.log("partner list: started with the one kept in " + settings_.partners_cache + ": " + why);
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,24 +40,28 @@
                          },
                      .failed = [this] { core_->list_failed(), poke(); },
                      .log = [this](const std::string& text) { log_("list", text); }});
-  notes_ = std::make_unique<PeerNotes>(loop_, settings_,
-                                       [this](int from, std::string body) { core_->note(from, std::move(body)), poke(); });
+  notes_ = std::make_unique<PeerNotes>(
+      loop_, settings_, [this](int from, std::string body) { core_->note(from, std::move(body)), poke(); });
   if (serve)
     front_ = std::make_unique<gateway::Front>(
         loop_, settings_,
-        gateway::Front::Host{.destination = [this](const std::string& name) { return book_.destination(name); },
-                             .take =
-                                 [this](relay::NewMessage message, const std::function<void(MessageId)>& named) {
-                                   return take(std::move(message), *front_, named);
-                                 },
-                             .withdraw = [this](MessageId id) { withdraw(id); },
-                             .log = [this](const std::string& text) { log_("front", text); }});
+        gateway::Front::Host{
+            .destination = [this](const std::string& name) { return book_.destination(name); },
+            .take =
+                [this](relay::NewMessage message, const std::function<void(MessageId)>& named) {
+                  return take(std::move(message), *front_, named);
+                },
+            .withdraw = [this](MessageId id) { withdraw(id); },
+            .log = [this](const std::string& text) { log_("front", text); }});
   back_ = std::make_unique<gateway::Back>(
       loop_, settings_,
       gateway::Back::Host{
-          .ended = [this](relay::CallId id, relay::Ending ending) { core_->call_ended(loop_.now(), id, std::move(ending)), poke(); },
-          .probe_ended =
-              [this](const EndpointId& e, Outcome outcome, Time latency) { core_->probe_ended(e, outcome, latency), poke(); },
+          .ended =
+              [this](relay::CallId id, relay::Ending ending) {
+                core_->call_ended(loop_.now(), id, std::move(ending)), poke();
+              },
+          .probe_ended = [this](const EndpointId& e, Outcome outcome,
+                                Time latency) { core_->probe_ended(e, outcome, latency), poke(); },
           .wall = [] { return static_cast<std::int64_t>(time(nullptr)); },
           .log = [this](const std::string& text) { log_("back", text); }});
   core_ = std::make_unique<relay::Core>(settings_.dispatcher, decider(settings_.dispatcher, settings_.seed),
@@ -70,7 +74,8 @@
   loop_.cancel(timer_);
 }
 
-relay::Core::Taken Node::take(relay::NewMessage message, relay::Answers& to, const std::function<void(MessageId)>& named) {
+relay::Core::Taken Node::take(relay::NewMessage message, relay::Answers& to,
+                              const std::function<void(MessageId)>& named) {
   poke();
   const MessageId id = next_message_++;
   router_.to[id] = &to;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -19,14 +19,15 @@
   using LogSink = std::function<void(const char* event, const std::string& text)>;
 
   // Throws ConfigError or std::system_error where it can't start.
-  Node(loop::Loop& loop, config::RelaySettings settings, LogSink log, DeciderMaker decider = relay::make_dispatcher,
-       bool serve = true);
+  Node(loop::Loop& loop, config::RelaySettings settings, LogSink log,
+       DeciderMaker decider = relay::make_dispatcher, bool serve = true);
   ~Node();
 
   std::string address() const { return front_ ? front_->address() : ""; }
 
   // A message from elsewhere than the front. `named` is told its id before any answer can come to `to`.
-  relay::Core::Taken take(relay::NewMessage message, relay::Answers& to, const std::function<void(MessageId)>& named);
+  relay::Core::Taken take(relay::NewMessage message, relay::Answers& to,
+                          const std::function<void(MessageId)>& named);
   void withdraw(MessageId id);
   std::optional<DestinationId> destination(const std::string& name) const { return book_.destination(name); }
   const std::string& name_of(DestinationId id) const { return book_.name_of(id); }
--- a/src/node/peer_notes.hpp
+++ b/src/node/peer_notes.hpp
@@ -1,5 +1,5 @@
-// Notes between relays as datagrams: "cpn1", the sender's rank in four bytes, then the module's bytes. They may
-// be lost, doubled or late; no rule rests on them.
+// Notes between relays as datagrams: "cpn1", the sender's rank in four bytes, then the module's bytes. They
+// may be lost, doubled or late; no rule rests on them.
 #pragma once
 
 #include <map>
--- a/src/record/tap.cpp
+++ b/src/record/tap.cpp
@@ -65,9 +65,7 @@
   const auto number = [&](const char* key) {
     return d.HasMember(key) && d[key].IsInt64() ? d[key].GetInt64() : std::int64_t{0};
   };
-  const auto flag = [&](const char* key) {
-    return d.HasMember(key) && d[key].IsBool() && d[key].GetBool();
-  };
+  const auto flag = [&](const char* key) { return d.HasMember(key) && d[key].IsBool() && d[key].GetBool(); };
   Record r;
   r.at = number("at");
   r.side = text("side") == "client" ? Record::Side::client : Record::Side::endpoint;
@@ -92,7 +90,8 @@
 
 Record Tap::fresh(Time at, bool sent, const char* what, std::uint32_t stream) const {
   Record r;
-  r.at = at, r.side = side_, r.place = place_, r.connection = connection_, r.sent = sent, r.what = what, r.stream = stream;
+  r.at = at, r.side = side_, r.place = place_, r.connection = connection_, r.sent = sent, r.what = what,
+  r.stream = stream;
   return r;
 }
 
--- a/src/record/tap.hpp
+++ b/src/record/tap.hpp
@@ -1,5 +1,6 @@
 // Frames as they pass a socket, for checking afterwards. A tap reads the raw bytes of each direction with a
-// parser and header tables of its own, so that what it tells does not rest on the word of either end's engine.
+// parser and header tables of its own, so that what it tells does not rest on the word of either end's
+// engine.
 #pragma once
 
 #include <cstdint>
@@ -20,16 +21,16 @@
   enum class Side { client, endpoint };  // at which end of a relay it was recorded
   Time at = 0;
   Side side = Side::client;
-  std::string place;        // the client's relay, or the endpoint's id
+  std::string place;  // the client's relay, or the endpoint's id
   std::uint64_t connection = 0;
-  bool sent = false;        // by the recording side; else received
-  std::string what;         // a frame's type, or "OPEN", "CLOSE"
+  bool sent = false;  // by the recording side; else received
+  std::string what;   // a frame's type, or "OPEN", "CLOSE"
   std::uint32_t stream = 0;
-  bool end = false;         // END_STREAM
-  std::uint32_t code = 0;   // of RST_STREAM and GOAWAY
-  std::uint32_t last = 0;   // GOAWAY's last stream
+  bool end = false;                           // END_STREAM
+  std::uint32_t code = 0;                     // of RST_STREAM and GOAWAY
+  std::uint32_t last = 0;                     // GOAWAY's last stream
   std::map<std::string, std::string> fields;  // the header fields of a field section
-  std::string message;      // at the end of a request's body: the id that it names
+  std::string message;                        // at the end of a request's body: the id that it names
 };
 
 std::string to_json(const Record& r);
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -40,8 +40,8 @@
   m.deadline = now + message.time_left;
   m.message = std::make_shared<const NewMessage>(std::move(message));
   // The time that passes until the round counts against the message: see turn().
-  events_.push_back(event::Arrival{id, m.message->destination, m.message->message_class, m.message->tenant, m.deadline,
-                                   m.message->order_key, false});
+  events_.push_back(event::Arrival{id, m.message->destination, m.message->message_class, m.message->tenant,
+                                   m.deadline, m.message->order_key, false});
   return Taken::yes;
 }
 
@@ -71,7 +71,8 @@
   // Endpoints that are gone are forgotten once no call is left there.
   std::set<EndpointId> busy;
   for (const auto& [id, call] : calls_) busy.insert(call.endpoint);
-  std::erase_if(known_, [&](const auto& k) { return k.second.listing == Listing::gone && busy.count(k.first) == 0; });
+  std::erase_if(known_,
+                [&](const auto& k) { return k.second.listing == Listing::gone && busy.count(k.first) == 0; });
 }
 
 void Core::list_whole(std::vector<Endpoint> endpoints, bool cached) {
@@ -92,7 +93,8 @@
 void Core::recall(const EndpointId& endpoint) {
   for (const CallId id : ports_.transport.recall(endpoint)) {
     const auto it = calls_.find(id);
-    if (it != calls_.end()) end_call(now_, it, {Outcome::not_sent, 0, {}, "called back before it was sent", {}});
+    if (it != calls_.end())
+      end_call(now_, it, {Outcome::not_sent, 0, {}, "called back before it was sent", {}});
   }
 }
 
@@ -136,8 +138,8 @@
     }
     closed = m.over;
   }
-  events_.push_back(event::AttemptEnded{call.message, call.attempt, call.endpoint, ending.outcome, now - call.sent, closed,
-                                        ending.told_wait, ending.report});
+  events_.push_back(event::AttemptEnded{call.message, call.attempt, call.endpoint, ending.outcome,
+                                        now - call.sent, closed, ending.told_wait, ending.report});
   forget(call.message);
 }
 
@@ -186,7 +188,8 @@
   events.swap(events_);
   // Arrivals were noted with their deadline; the module is told what is left of it at this round.
   for (auto& e : events)
-    if (auto* arrival = std::get_if<event::Arrival>(&e)) arrival->time_left = std::max<Time>(0, arrival->time_left - now);
+    if (auto* arrival = std::get_if<event::Arrival>(&e))
+      arrival->time_left = std::max<Time>(0, arrival->time_left - now);
   std::vector<Action> actions;
   decider_->handle(now, events, actions);
   carry_out(now, actions);
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -183,10 +183,12 @@
   std::map<MessageId, Message> messages_;
   std::map<CallId, Call> calls_;
   std::map<EndpointId, Known> known_;
-  std::map<std::uint64_t, int> bundles_;                                // calls left of each bundle: one slot
-  std::map<EndpointId, std::pair<std::uint64_t, int>> open_bundles_;    // of this round: bundle, messages in it
+  std::map<std::uint64_t, int> bundles_;                              // calls left of each bundle: one slot
+  std::map<EndpointId, std::pair<std::uint64_t, int>> open_bundles_;  // of this round: bundle, messages in it
   std::set<std::pair<Time, CallId>> timeouts_;
-  std::priority_queue<std::pair<Time, std::uint64_t>, std::vector<std::pair<Time, std::uint64_t>>, std::greater<>> timers_;
+  std::priority_queue<std::pair<Time, std::uint64_t>, std::vector<std::pair<Time, std::uint64_t>>,
+                      std::greater<>>
+      timers_;
   std::vector<Event> events_;
   CallId next_call_ = 1;
   std::uint64_t next_bundle_ = 1;
--- a/src/relay/intake.cpp
+++ b/src/relay/intake.cpp
@@ -29,15 +29,19 @@
   if (cls.effect == Effect::keyed && r.idempotency_key.empty())
     return bad("class '" + r.message_class + "' is keyed: the Idempotency-Key field is missing");
   if (r.idempotency_key.size() > 256) return bad("Idempotency-Key exceeds 256 characters");
-  if (r.has_topic && !valid_topic(r.topic)) return bad("Topic is not up to 32 characters of base64url (RFC 8030 section 5.4)");
+  if (r.has_topic && !valid_topic(r.topic))
+    return bad("Topic is not up to 32 characters of base64url (RFC 8030 section 5.4)");
   if (!r.tenant.empty()) {
     m.tenant = place_of(settings_.names.tenants, r.tenant);
     if (m.tenant < 0) return bad(settings_.tenant_field + " names no tenant: '" + r.tenant + "'");
   }
   // What goes on to endpoints must not break their field section (RFC 9110 section 5.5).
   for (const auto* text : {&r.idempotency_key, &r.content_type, &r.content_encoding, &r.urgency}) {
-    const bool broken = text->size() > 1024 || std::any_of(text->begin(), text->end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; });
-    if (broken || (!text->empty() && (text->front() == ' ' || text->back() == ' '))) return bad("a field value can't be passed on");
+    const bool broken = text->size() > 1024 || std::any_of(text->begin(), text->end(), [](unsigned char c) {
+                          return c < 0x20 || c == 0x7f;
+                        });
+    if (broken || (!text->empty() && (text->front() == ' ' || text->back() == ' ')))
+      return bad("a field value can't be passed on");
   }
   m.idempotency_key = r.idempotency_key, m.topic = r.topic;
   if (cls.ordered) m.order_key = r.topic;
@@ -47,7 +51,8 @@
 
 std::optional<Rejection> Intake::check_body(std::size_t bytes) const {
   if (bytes <= static_cast<std::size_t>(settings_.body_max)) return std::nullopt;
-  return Rejection{Rejection::Why::too_large, "the body exceeds " + std::to_string(settings_.body_max) + " bytes"};
+  return Rejection{Rejection::Why::too_large,
+                   "the body exceeds " + std::to_string(settings_.body_max) + " bytes"};
 }
 
 }  // namespace cedarplank::relay
--- a/src/relay/partner_book.cpp
+++ b/src/relay/partner_book.cpp
@@ -10,7 +10,13 @@
 
 Endpoint PartnerBook::as_event(const config::PartnerEndpoint& e) {
   const auto since = since_.find(e.id);
-  return {e.id, intern(e.destination), e.zone, e.kind, e.listing, e.weight, since == since_.end() ? 0 : since->second};
+  return {e.id,
+          intern(e.destination),
+          e.zone,
+          e.kind,
+          e.listing,
+          e.weight,
+          since == since_.end() ? 0 : since->second};
 }
 
 PartnerBook::Update PartnerBook::take(const config::PartnerList& list, Time now) {
@@ -24,9 +30,9 @@
       if (it != gone_.end()) before = &it->second;
     }
     if (before != nullptr && !before->same_place(e)) {
-      update.problems.push_back("endpoint '" + e.id + "' moved from " + before->destination + " at " + before->address +
-                                before->path + " to " + e.destination + " at " + e.address + e.path +
-                                ": a new place needs a new id; the old one is treated as gone");
+      update.problems.push_back("endpoint '" + e.id + "' moved from " + before->destination + " at " +
+                                before->address + before->path + " to " + e.destination + " at " + e.address +
+                                e.path + ": a new place needs a new id; the old one is treated as gone");
       continue;
     }
     if (e.listing == Listing::gone) continue;
--- a/src/relay/partner_book.hpp
+++ b/src/relay/partner_book.hpp
@@ -15,8 +15,8 @@
 class PartnerBook {
  public:
   struct Update {
-    bool whole = false;                // else changes
-    std::vector<Endpoint> endpoints;   // as the module takes them
+    bool whole = false;                 // else changes
+    std::vector<Endpoint> endpoints;    // as the module takes them
     std::vector<std::string> problems;  // entries that were left as they are, and why
   };
   // Takes a list that was read at `now`. An id that moves to another destination or address is not followed:
--- a/standin/model.cpp
+++ b/standin/model.cpp
@@ -7,11 +7,15 @@
 namespace cedarplank::standin {
 
 Place::Place(const PlaceSettings& settings, std::uint64_t seed)
-    : settings_(settings), random_(seed), busy_until_(static_cast<std::size_t>(std::max(1, settings.servers)), 0) {
+    : settings_(settings),
+      random_(seed),
+      busy_until_(static_cast<std::size_t>(std::max(1, settings.servers)), 0) {
   tokens_ = std::max(1.0, settings.limit_per_s * 0.5);
 }
 
-double Place::capacity() const { return static_cast<double>(settings_.servers) / (static_cast<double>(settings_.service) * 1e-6); }
+double Place::capacity() const {
+  return static_cast<double>(settings_.servers) / (static_cast<double>(settings_.service) * 1e-6);
+}
 
 double Place::warmth(Time now) const {
   if (!back_at_ || settings_.cold <= 0 || now >= *back_at_ + settings_.cold) return 1;
@@ -74,7 +78,8 @@
   while (!starts_.empty() && starts_.front() <= now) starts_.pop_front();
   const auto server = std::min_element(busy_until_.begin(), busy_until_.end());
   const Time start = std::max(now, *server);
-  if (start > now && starts_.size() >= static_cast<std::size_t>(settings_.queue)) return {Verdict::queue_full, 0};
+  if (start > now && starts_.size() >= static_cast<std::size_t>(settings_.queue))
+    return {Verdict::queue_full, 0};
   if (start > now) starts_.push_back(start);
   *server = start + static_cast<Time>(static_cast<double>(draw_service()) / std::max(0.05, warmth(start)));
   return {Verdict::accepted, *server};
--- a/standin/model.hpp
+++ b/standin/model.hpp
@@ -14,19 +14,19 @@
 using Time = std::int64_t;  // microseconds
 
 struct PlaceSettings {
-  int servers = 4;                 // calls worked on at once
-  Time service = 20'000;           // mean time of one
-  double service_cv = 0.5;         // spread of it (lognormal); 0: always the mean
-  int queue = 32;                  // calls that wait for a server
-  double limit_per_s = 0;          // 0: none
-  Time limit_span = 0;             // 0: a steady rate; else so many in each span
-  bool refused_count = false;      // refused calls use up the limit too
-  Time tells_wait = 0;             // with refusals; 0: doesn't tell
-  double cold_from = 0.2;          // share of capacity right after an outage
-  Time cold = 0;                   // all of it after this; 0: never cold
-  double fall_multiple = 2;        // sent more than this times its present capacity
-  Time overload_for = 2'000'000;   // for this long, a cold place falls over
-  Time fallen_for = 10'000'000;    // and stays down so long
+  int servers = 4;                // calls worked on at once
+  Time service = 20'000;          // mean time of one
+  double service_cv = 0.5;        // spread of it (lognormal); 0: always the mean
+  int queue = 32;                 // calls that wait for a server
+  double limit_per_s = 0;         // 0: none
+  Time limit_span = 0;            // 0: a steady rate; else so many in each span
+  bool refused_count = false;     // refused calls use up the limit too
+  Time tells_wait = 0;            // with refusals; 0: doesn't tell
+  double cold_from = 0.2;         // share of capacity right after an outage
+  Time cold = 0;                  // all of it after this; 0: never cold
+  double fall_multiple = 2;       // sent more than this times its present capacity
+  Time overload_for = 2'000'000;  // for this long, a cold place falls over
+  Time fallen_for = 10'000'000;   // and stays down so long
 };
 
 enum class Verdict { accepted, limited, queue_full, fallen };
@@ -66,9 +66,9 @@
   double tokens_ = 0;
   Time tokens_at_ = 0;
   double slowness_ = 1;
-  std::optional<Time> back_at_;   // when the last outage ended
+  std::optional<Time> back_at_;  // when the last outage ended
   bool out_ = false;
-  std::deque<Time> pushes_;       // arrivals while cold
+  std::deque<Time> pushes_;  // arrivals while cold
   Time fallen_until_ = 0;
   int falls_ = 0;
 };
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -6,14 +6,20 @@
 namespace cedarplank::standin {
 
 const std::map<std::string, Fault>& fault_names() {
-  static const std::map<std::string, Fault> names = {
-      {"silent", Fault::silent},           {"hang_reset", Fault::hang_reset},
-      {"shut", Fault::shut},               {"refuse", Fault::refuse},
-      {"down", Fault::down},               {"errors", Fault::errors},
-      {"slow", Fault::slow},               {"pause", Fault::pause},
-      {"drop_after_take", Fault::drop_after_take}, {"answer_lost", Fault::answer_lost},
-      {"goaway", Fault::goaway},           {"refused_stream", Fault::refused_stream},
-      {"garbage", Fault::garbage},         {"dead_idle", Fault::dead_idle}};
+  static const std::map<std::string, Fault> names = {{"silent", Fault::silent},
+                                                     {"hang_reset", Fault::hang_reset},
+                                                     {"shut", Fault::shut},
+                                                     {"refuse", Fault::refuse},
+                                                     {"down", Fault::down},
+                                                     {"errors", Fault::errors},
+                                                     {"slow", Fault::slow},
+                                                     {"pause", Fault::pause},
+                                                     {"drop_after_take", Fault::drop_after_take},
+                                                     {"answer_lost", Fault::answer_lost},
+                                                     {"goaway", Fault::goaway},
+                                                     {"refused_stream", Fault::refused_stream},
+                                                     {"garbage", Fault::garbage},
+                                                     {"dead_idle", Fault::dead_idle}};
   return names;
 }
 
@@ -35,7 +41,11 @@
 
 Destination::Destination(loop::Loop& loop, const DestinationSettings& settings, record::Sink frames,
                          std::function<void(const Effect&)> effects, std::uint64_t seed)
-    : loop_(loop), settings_(settings), frames_(std::move(frames)), effects_(std::move(effects)), seed_(seed) {
+    : loop_(loop),
+      settings_(settings),
+      frames_(std::move(frames)),
+      effects_(std::move(effects)),
+      seed_(seed) {
   shared_ = std::make_unique<Place>(settings.place, seed);
   for (const auto& e : settings.endpoints) add(e);
 }
@@ -57,7 +67,8 @@
   return settings_.answers[std::min(calls_[message]++, settings_.answers.size() - 1)];
 }
 
-void Destination::take_effect(Time now, const std::string& endpoint, const std::string& message, const std::string& key) {
+void Destination::take_effect(Time now, const std::string& endpoint, const std::string& message,
+                              const std::string& key) {
   if (!key.empty() && settings_.key_window > 0) {
     const auto [it, fresh] = keys_.try_emplace(key, now);
     if (!fresh && now < it->second + settings_.key_window) return;  // a repeat: dropped
@@ -66,7 +77,8 @@
   effects_({now, endpoint, settings_.name, message, key});
 }
 
-Endpoint::Endpoint(loop::Loop& loop, const EndpointSettings& settings, Destination& destination, record::Sink sink, std::uint64_t seed)
+Endpoint::Endpoint(loop::Loop& loop, const EndpointSettings& settings, Destination& destination,
+                   record::Sink sink, std::uint64_t seed)
     : loop_(loop), settings_(settings), destination_(destination), sink_(std::move(sink)), random_(seed) {
   address_ = settings.address;
   listen();
@@ -75,7 +87,8 @@
 Endpoint::~Endpoint() { *alive_ = false; }
 
 void Endpoint::listen() {
-  listener_ = std::make_unique<net::Listener>(loop_, net::Address::parse(address_), [this](net::Fd fd) { accept(std::move(fd)); });
+  listener_ = std::make_unique<net::Listener>(loop_, net::Address::parse(address_),
+                                              [this](net::Fd fd) { accept(std::move(fd)); });
   address_ = listener_->address().text();
 }
 
@@ -86,7 +99,8 @@
 
 bool Endpoint::strikes(Fault f) {
   const auto* settings = fault(f);
-  return settings != nullptr && (settings->share >= 1 || std::uniform_real_distribution<double>()(random_) < settings->share);
+  return settings != nullptr &&
+         (settings->share >= 1 || std::uniform_real_distribution<double>()(random_) < settings->share);
 }
 
 void Endpoint::begin(const FaultSettings& f) {
@@ -105,7 +119,8 @@
 void Endpoint::end(Fault f) {
   if (faults_.erase(f) == 0) return;
   Place& place = destination_.place_of(settings_.id);
-  const bool still = std::any_of(faults_.begin(), faults_.end(), [](const auto& x) { return is_outage(x.first, x.second.share); });
+  const bool still = std::any_of(faults_.begin(), faults_.end(),
+                                 [](const auto& x) { return is_outage(x.first, x.second.share); });
   if (!still && is_outage(f, 1)) place.outage_ends(loop_.now());
   if (f == Fault::slow) place.set_slowness(1);
   if (f == Fault::down && !stopped_) listen();
@@ -127,27 +142,31 @@
 
 void Endpoint::accept(net::Fd fd) {
   if (fault(Fault::refuse) || destination_.place_of(settings_.id).fallen(loop_.now()) ||
-      (settings_.connections_max > 0 && peers_.size() >= static_cast<std::size_t>(settings_.connections_max))) {
+      (settings_.connections_max > 0 &&
+       peers_.size() >= static_cast<std::size_t>(settings_.connections_max))) {
     const linger reset{1, 0};
     setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     record::Record r;
-    r.at = loop_.now(), r.side = record::Record::Side::endpoint, r.place = settings_.id, r.what = "TURNED_AWAY";
+    r.at = loop_.now(), r.side = record::Record::Side::endpoint, r.place = settings_.id,
+    r.what = "TURNED_AWAY";
     sink_(std::move(r));
     return;  // fd closes here
   }
   http2::LocalSettings local;
   local.max_concurrent_streams = static_cast<std::uint32_t>(settings_.streams_max);
   const std::uint64_t id = next_peer_++;
-  auto owned = std::make_unique<Peer>(local, record::Tap(record::Record::Side::endpoint, settings_.id, id, false, sink_));
+  auto owned = std::make_unique<Peer>(
+      local, record::Tap(record::Record::Side::endpoint, settings_.id, id, false, sink_));
   Peer& p = *owned;
   p.id = id, p.last_used = loop_.now();
   peers_[id] = std::move(owned);
   p.tap.note(loop_.now(), "OPEN");
-  p.stream = std::make_unique<net::TcpStream>(loop_, std::move(fd),
-                                              net::Stream::Handlers{.connected = {},
-                                                                    .data = [this, id](std::string_view b) { receive(id, b); },
-                                                                    .drained = {},
-                                                                    .closed = [this, id](const std::string&) { drop(id, false); }});
+  p.stream = std::make_unique<net::TcpStream>(
+      loop_, std::move(fd),
+      net::Stream::Handlers{.connected = {},
+                            .data = [this, id](std::string_view b) { receive(id, b); },
+                            .drained = {},
+                            .closed = [this, id](const std::string&) { drop(id, false); }});
   if (fault(Fault::garbage)) {
     p.stream->write("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     p.stream->finish(100'000);
@@ -171,7 +190,8 @@
     held_.emplace_back(id, std::string(bytes));
     return;
   }
-  if (const auto* idle = fault(Fault::dead_idle); idle != nullptr && loop_.now() - p.last_used > idle->after) p.dead = true;
+  if (const auto* idle = fault(Fault::dead_idle); idle != nullptr && loop_.now() - p.last_used > idle->after)
+    p.dead = true;
   p.last_used = loop_.now();
   p.tap.pass(loop_.now(), false, bytes);
   if (p.dead || fault(Fault::garbage)) return;
@@ -202,7 +222,8 @@
   if (p.h2.failed()) drop(id, true);
 }
 
-void Endpoint::request(Peer& p, http2::StreamId stream, const http2::Headers& headers, const std::string& body) {
+void Endpoint::request(Peer& p, http2::StreamId stream, const http2::Headers& headers,
+                       const std::string& body) {
   const Time now = loop_.now();
   const std::string message = record::message_in(body), key(http2::find_header(headers, "idempotency-key"));
   if (http2::find_header(headers, ":method") != "POST") return respond(p.id, stream, 405, 0);
@@ -236,16 +257,18 @@
       break;
   }
   const bool drop_after = strikes(Fault::drop_after_take), lost = strikes(Fault::answer_lost);
-  loop_.after(std::max<Time>(0, arrival.done_at - now), [this, alive = alive_, id = p.id, stream, message, key, drop_after, lost] {
-    if (!*alive) return;
-    // What was taken takes effect, whether or not its caller still waits.
-    destination_.take_effect(loop_.now(), settings_.id, message, key);
-    if (drop_after) return drop(id, true);
-    if (!lost) respond(id, stream, 201, 0);
-  });
+  loop_.after(std::max<Time>(0, arrival.done_at - now),
+              [this, alive = alive_, id = p.id, stream, message, key, drop_after, lost] {
+                if (!*alive) return;
+                // What was taken takes effect, whether or not its caller still waits.
+                destination_.take_effect(loop_.now(), settings_.id, message, key);
+                if (drop_after) return drop(id, true);
+                if (!lost) respond(id, stream, 201, 0);
+              });
 }
 
-bool Endpoint::answer_by_script(Peer& p, http2::StreamId stream, const std::string& message, const std::string& key) {
+bool Endpoint::answer_by_script(Peer& p, http2::StreamId stream, const std::string& message,
+                                const std::string& key) {
   const std::string word = destination_.next_answer(message);
   if (word.empty()) return false;
   if (word == "201" || word == "drop") destination_.take_effect(loop_.now(), settings_.id, message, key);
@@ -262,7 +285,8 @@
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return;
   http2::Headers headers = {{":status", std::to_string(status)}};
-  if (status == 201) headers.push_back({"location", "/message/" + settings_.id + "-" + std::to_string(stream)});
+  if (status == 201)
+    headers.push_back({"location", "/message/" + settings_.id + "-" + std::to_string(stream)});
   if (wait > 0) headers.push_back({"retry-after", std::to_string((wait + 999'999) / 1'000'000)});
   it->second->h2.respond(stream, headers, "");
   flush(*it->second);
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -38,9 +38,9 @@
 
 struct FaultSettings {
   Fault fault{};
-  double share = 1;   // of the calls that it strikes
-  double times = 10;  // slow
-  Time wait = 0;      // shut: told wait
+  double share = 1;      // of the calls that it strikes
+  double times = 10;     // slow
+  Time wait = 0;         // shut: told wait
   Time after = 500'000;  // hang_reset: until the reset; dead_idle: idle for so long
 };
 
@@ -55,9 +55,10 @@
   std::string name;
   bool routes_apart = false;  // each endpoint has its own place
   PlaceSettings place;
-  Time key_window = 0;        // how long a key is remembered
-  // Answers to the first, second, ... call of each message, whatever the time: a status, "drop" (takes effect, then the
-  // connection is lost), "refuse" (REFUSED_STREAM) or "silent". The last word stays; none: by the place and faults.
+  Time key_window = 0;  // how long a key is remembered
+  // Answers to the first, second, ... call of each message, whatever the time: a status, "drop" (takes
+  // effect, then the connection is lost), "refuse" (REFUSED_STREAM) or "silent". The last word stays; none:
+  // by the place and faults.
   std::vector<std::string> answers;
   std::vector<EndpointSettings> endpoints;
 };
@@ -72,7 +73,8 @@
 // One endpoint: a listener and its connections.
 class Endpoint {
  public:
-  Endpoint(loop::Loop& loop, const EndpointSettings& settings, Destination& destination, record::Sink sink, std::uint64_t seed);
+  Endpoint(loop::Loop& loop, const EndpointSettings& settings, Destination& destination, record::Sink sink,
+           std::uint64_t seed);
   ~Endpoint();
 
   const std::string& id() const { return settings_.id; }
@@ -92,7 +94,8 @@
     Time last_used = 0;
     http2::StreamId last_taken = http2::kMaxStream;  // lower after a GOAWAY
     bool dead = false;
-    Peer(const http2::LocalSettings& local, record::Tap t) : h2(http2::Role::server, local), tap(std::move(t)) {}
+    Peer(const http2::LocalSettings& local, record::Tap t)
+        : h2(http2::Role::server, local), tap(std::move(t)) {}
   };
   void listen();
   void accept(net::Fd fd);
@@ -122,8 +125,8 @@
 
 class Destination {
  public:
-  Destination(loop::Loop& loop, const DestinationSettings& settings, record::Sink frames, std::function<void(const Effect&)> effects,
-              std::uint64_t seed);
+  Destination(loop::Loop& loop, const DestinationSettings& settings, record::Sink frames,
+              std::function<void(const Effect&)> effects, std::uint64_t seed);
   Endpoint& add(const EndpointSettings& settings);
   Place& place_of(const std::string& endpoint);
   // The word of `answers` for this call of the message; empty where there are none.
--- a/standin/settings.cpp
+++ b/standin/settings.cpp
@@ -32,7 +32,8 @@
  "wait": {"type": "string"}, "after": {"type": "string"}}}})json";
 
 std::string standin_schema() {
-  return std::string(R"({"type": "object", "required": ["destinations"], "additionalProperties": false, "properties": {
+  return std::string(
+             R"({"type": "object", "required": ["destinations"], "additionalProperties": false, "properties": {
     "seed": {"type": "integer", "minimum": 0}, "effects": {"type": "string"}, "frames": {"type": "string"},
     "partners": {"type": "string"}, "destinations": )") +
          kDestinationsSchema + R"(, "faults": )" + kFaultsSchema + "}}";
@@ -82,7 +83,8 @@
         if (count > 1) v.at("endpoints").fail("can't be given together with count; use endpoints_each");
         int n = 0;
         for (const auto& e : v.items("endpoints"))
-          add(e.text("id", one.settings.name + "-" + static_cast<char>('a' + n % 26) + (n < 26 ? "" : std::to_string(n / 26))),
+          add(e.text("id", one.settings.name + "-" + static_cast<char>('a' + n % 26) +
+                               (n < 26 ? "" : std::to_string(n / 26))),
               e.text("address", "127.0.0.1:0"), e.text("zone", "")),
               n++;
       } else {
@@ -134,13 +136,15 @@
   s.destinations = read_destinations(root);
   s.faults = read_faults(root, s.destinations);
   const auto beside = [&](const char* key) {
-    return root.has(key) ? (std::filesystem::path(file).parent_path() / root.at(key).text()).string() : std::string();
+    return root.has(key) ? (std::filesystem::path(file).parent_path() / root.at(key).text()).string()
+                         : std::string();
   };
   s.effects_file = beside("effects"), s.frames_file = beside("frames"), s.partners_file = beside("partners");
   return s;
 }
 
-std::vector<Endpoint*> find_endpoints(std::vector<std::unique_ptr<Destination>>& all, const std::string& name) {
+std::vector<Endpoint*> find_endpoints(std::vector<std::unique_ptr<Destination>>& all,
+                                      const std::string& name) {
   std::vector<Endpoint*> found;
   for (auto& d : all)
     for (auto& e : d->endpoints())
@@ -148,7 +152,8 @@
   return found;
 }
 
-config::PartnerList partner_list(const std::vector<Listed>& listed, std::vector<std::unique_ptr<Destination>>& running,
+config::PartnerList partner_list(const std::vector<Listed>& listed,
+                                 std::vector<std::unique_ptr<Destination>>& running,
                                  const config::Names& names, std::int64_t version) {
   const auto place = [](const std::vector<std::string>& all, const std::string& name) {
     const auto it = std::find(all.begin(), all.end(), name);
@@ -160,7 +165,8 @@
     for (std::size_t e = 0; e < running[d]->endpoints().size(); e++) {
       const auto& endpoint = *running[d]->endpoints()[e];
       config::PartnerEndpoint p;
-      p.id = endpoint.id(), p.destination = listed[d].settings.name, p.address = endpoint.address(), p.path = "/push";
+      p.id = endpoint.id(), p.destination = listed[d].settings.name, p.address = endpoint.address(),
+      p.path = "/push";
       p.kind = place(names.kinds, listed[d].kind);
       p.zone = e < listed[d].zones.size() ? place(names.zones, listed[d].zones[e]) : 0;
       p.weight = listed[d].weight;
--- a/standin/settings.hpp
+++ b/standin/settings.hpp
@@ -42,10 +42,12 @@
 StandinSettings load_standin_settings(const std::string& file);
 
 // Endpoints that a name stands for: a destination's, or one.
-std::vector<Endpoint*> find_endpoints(std::vector<std::unique_ptr<Destination>>& all, const std::string& name);
+std::vector<Endpoint*> find_endpoints(std::vector<std::unique_ptr<Destination>>& all,
+                                      const std::string& name);
 
 // The partner list of running stand-ins.
-config::PartnerList partner_list(const std::vector<Listed>& listed, std::vector<std::unique_ptr<Destination>>& running,
+config::PartnerList partner_list(const std::vector<Listed>& listed,
+                                 std::vector<std::unique_ptr<Destination>>& running,
                                  const config::Names& names, std::int64_t version);
 
 }  // namespace cedarplank::standin
