Pool module: connections to endpoints kept by decisions of their own, free of I/O

Need: the back opened a further connection only when no stream was left, so that one lost connection put 100 calls in doubt; it forgot an endpoint's cap at once, noticed dead connections only by lost calls, and after a GOAWAY or a loss of many connections made the next call wait or connected all together. Change: pool::Pool decides which connection carries which call, when another is opened, what is asked by PING and how a GOAWAY is replaced; pool::Gate bounds handshakes in progress. The back carries out its steps. No call that has left is given up by it: that stays with the module.

--- a/src/config/relay_settings.cpp
+++ b/src/config/relay_settings.cpp
@@ -21,7 +21,10 @@
   "stalled_after": {"type": "string"}}},
  "endpoints": {"type": "object", "additionalProperties": false, "properties": {
   "connections_max": {"type": "integer", "minimum": 1, "maximum": 1000},
-  "streams_max": {"type": "integer", "minimum": 1, "maximum": 100000}}},
+  "streams_max": {"type": "integer", "minimum": 1, "maximum": 100000},
+  "calls_at_risk": {"type": "integer", "minimum": 1, "maximum": 100000},
+  "ping_after": {"type": "string"}, "ping_timeout": {"type": "string"},
+  "handshakes_max": {"type": "integer", "minimum": 1, "maximum": 100000}}},
  "partners": {"type": "object", "required": ["file"], "additionalProperties": false, "properties": {
   "file": {"type": "string"}, "cache": {"type": "string"}, "reread": {"type": "string"}}},
  "peers": {"type": "object", "required": ["listen"], "additionalProperties": false, "properties": {
@@ -159,6 +162,10 @@
     const Value endpoints = root.at("endpoints");
     s.endpoint_connections_max = endpoints.integer("connections_max", s.endpoint_connections_max);
     s.endpoint_streams_max = endpoints.integer("streams_max", s.endpoint_streams_max);
+    s.endpoint_calls_at_risk = endpoints.integer("calls_at_risk", s.endpoint_calls_at_risk);
+    s.endpoint_ping_after = endpoints.duration("ping_after", s.endpoint_ping_after);
+    s.endpoint_ping_timeout = endpoints.duration("ping_timeout", s.endpoint_ping_timeout);
+    s.handshakes_max = endpoints.integer("handshakes_max", s.handshakes_max);
   }
   const auto beside = [&](const std::string& name) {
     return (std::filesystem::path(document.file()).parent_path() / name).string();
--- a/src/config/relay_settings.hpp
+++ b/src/config/relay_settings.hpp
@@ -33,10 +33,14 @@
   std::int64_t body_max = 64 * 1024;
   std::int64_t body_total_max = 64 * 1024 * 1024;  // bodies that are still coming in, of all clients together
   int client_connections_max = 1024;
-  int client_streams_max = 1000;     // SETTINGS_MAX_CONCURRENT_STREAMS for clients
-  int endpoint_connections_max = 8;  // to one endpoint
-  int endpoint_streams_max = 100;    // calls on one connection, if the peer allows more
-  Time stalled_after = 30'000'000;   // a peer that reads nothing for so long is cut off
+  int client_streams_max = 1000;           // SETTINGS_MAX_CONCURRENT_STREAMS for clients
+  int endpoint_connections_max = 8;        // to one endpoint
+  int endpoint_streams_max = 100;          // calls on one connection, if the peer allows more
+  int endpoint_calls_at_risk = 50;         // on one connection; beyond it a further one is opened
+  Time endpoint_ping_after = 5'000'000;    // nothing heard for so long: PING; 0: never
+  Time endpoint_ping_timeout = 2'000'000;  // no answer: the connection takes no more calls
+  int handshakes_max = 64;                 // of connections to endpoints, in progress at once
+  Time stalled_after = 30'000'000;         // a peer that reads nothing for so long is cut off
   std::string partners_file, partners_cache;
   Time partners_reread = 500'000;
   std::string notes_listen;
--- a/src/gateway/back.hpp
+++ b/src/gateway/back.hpp
@@ -15,6 +15,7 @@
 #include "gateway/semantics.hpp"
 #include "http2/connection.hpp"
 #include "net/socket.hpp"
+#include "pool/pool.hpp"
 #include "relay/core.hpp"
 
 namespace cedarplank::gateway {
@@ -43,60 +44,70 @@
   void probe(const EndpointId& endpoint) override;
 
   std::uint64_t opened() const { return opened_; }
+  // Settings that may change in service have changed.
+  void settings_changed() { read_settings(); }
 
  private:
   using CallId = relay::CallId;
-  struct Pool;
+  struct Peer;
   struct Link {  // one connection
-    std::uint64_t id = 0;
-    Pool* pool = nullptr;
+    pool::LinkId id = 0;
     std::unique_ptr<net::Stream> stream;
     http2::Connection h2{http2::Role::client};
-    bool standing = false, closing = false;
+    bool closing = false;
     std::map<http2::StreamId, CallId> calls;
     std::map<http2::StreamId, std::pair<Time, std::size_t>> tails;  // answered; their bodies are still coming
-    loop::TimerId timer = 0;                                        // connecting, then idle
-    Time pinged_at = 0;
-    bool probing = false;
   };
-  struct Pool {
+  struct Peer {  // one endpoint
     config::PartnerEndpoint endpoint;
-    std::map<std::uint64_t, std::unique_ptr<Link>> links;
-    std::deque<CallId> waiting;
-    bool listed = true, probe_wanted = false;
-    Time probe_from = 0;
+    pool::Pool pool;
+    std::map<pool::LinkId, std::unique_ptr<Link>> links;
+    loop::TimerId timer = 0;
+    Time timer_at = 0;
+    bool pump_due = false;
+    Peer(const config::PartnerEndpoint& e, const pool::Settings& s, pool::Gate& gate, pool::LinkId& next,
+         std::uint64_t seed)
+        : endpoint(e), pool(e.id, s, gate, next, seed) {}
   };
   struct Call {
     relay::CallOrder order;
     Time given = 0;
-    Pool* pool = nullptr;
+    Peer* peer = nullptr;
     Link* link = nullptr;  // null: still waiting
     http2::StreamId stream = 0;
     std::uint64_t begins_at = 0;  // place of its first byte in what the connection sends
   };
 
-  void connect(Pool& pool);
-  void receive(Pool& pool, std::uint64_t link, std::string_view bytes);
-  void on_event(Pool& pool, Link& link, http2::Event& e);
-  void pump(Pool& pool);
-  bool has_room(const Link& link) const;
-  void submit(Link& link, CallId id);
+  void read_settings();
+  Peer* find(const EndpointId& id);
+  void pump(const EndpointId& id);  // does what the pool says is to be done
+  void pump_soon(Peer& peer);       // at the turn's end, so that sends of one round go out together
+  void rearm(Peer& peer);
+  void connect(Peer& peer, pool::LinkId id);
+  void receive(const EndpointId& id, pool::LinkId link, std::string_view bytes);
+  void on_event(Peer& peer, Link& link, http2::Event& e);
+  void look_at_room(Peer& peer, Link& link);
+  bool submit(Peer& peer, Link& link, CallId id);  // false: it had no room
   void end(CallId id, relay::Ending ending);
-  void end_stream(Link& link, http2::StreamId stream, Break how, http2::ErrorCode code,
+  void end_stream(Peer& peer, Link& link, http2::StreamId stream, Break how, http2::ErrorCode code,
                   const std::string& why);
-  void lost(Pool& pool, std::uint64_t link, const std::string& why);
-  void close_link(Link& link);
-  void settle(Pool& pool, Link& link);
+  void lost(const EndpointId& id, pool::LinkId link, const std::string& why);
+  void close_link(Peer& peer, Link& link, pool::Why why);
+  void drop_late_tails(Link& link);
   void flush(Link& link);
-  void drop_pool_if_done(const EndpointId& id);
+  void drop_if_done(const EndpointId& id);
 
   loop::Loop& loop_;
   const config::RelaySettings& settings_;
   Host host_;
   Connector connector_;
-  std::map<EndpointId, std::unique_ptr<Pool>> pools_;
+  pool::Settings pool_settings_;
+  pool::Gate gate_;
+  pool::LinkId next_link_ = 1;
+  std::map<EndpointId, std::unique_ptr<Peer>> peers_;
   std::map<CallId, Call> calls_;
-  std::uint64_t next_link_ = 1, opened_ = 0;
+  std::uint64_t opened_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace cedarplank::gateway
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -103,6 +103,10 @@
   settings_.body_max = s.body_max, settings_.body_total_max = s.body_total_max;
   settings_.endpoint_connections_max = s.endpoint_connections_max;
   settings_.endpoint_streams_max = s.endpoint_streams_max, settings_.partners_reread = s.partners_reread;
+  settings_.endpoint_calls_at_risk = s.endpoint_calls_at_risk, settings_.handshakes_max = s.handshakes_max;
+  settings_.endpoint_ping_after = s.endpoint_ping_after;
+  settings_.endpoint_ping_timeout = s.endpoint_ping_timeout;
+  back_->settings_changed();
 }
 
 void Node::poke() {
--- /dev/null
+++ b/tests/pool_test.cpp
@@ -0,0 +1,308 @@
+// The pool of connections to an endpoint, without sockets: a model endpoint answers its steps.
+#include "pool/pool.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cedarplank::pool {
+namespace {
+
+constexpr Time kMs = 1'000, kS = 1'000'000;
+
+struct Rig {
+  Settings settings;
+  Gate gate{2};
+  LinkId next = 1;
+  Pool pool{"e", settings, gate, next, 7};
+  Time now = kS;
+  CallId calls = 0;
+  std::map<LinkId, std::vector<CallId>> on;  // what was submitted where
+  std::vector<LinkId> connects, pings;
+  std::vector<std::pair<LinkId, Why>> closes;
+  std::vector<CallId> failed;  // their only connection got no SETTINGS
+
+  void run() {
+    for (std::vector<Step> steps;; steps.clear()) {
+      pool.steps(now, steps);
+      if (steps.empty()) return;
+      for (const auto& s : steps) {
+        if (s.what == Step::Do::connect) connects.push_back(s.link);
+        if (s.what == Step::Do::submit) on[s.link].push_back(s.call);
+        if (s.what == Step::Do::ping) pings.push_back(s.link);
+        if (s.what != Step::Do::close) continue;
+        closes.emplace_back(s.link, s.why);
+        if (s.why == Why::connect_timeout) {
+          for (const auto c : pool.lost(s.link, now).no_connection) failed.push_back(c);
+        } else {
+          pool.closing(s.link);
+        }
+      }
+    }
+  }
+  void calls_come(int n) {
+    for (int i = 0; i < n; i++) pool.wait(++calls);
+    run();
+  }
+  LinkId stands(std::uint32_t streams = 100) {
+    const LinkId id = connects.back();
+    pool.standing(id, now, streams);
+    run();
+    return id;
+  }
+  void answered(LinkId link, std::size_t n) {
+    for (std::size_t i = 0; i < n; i++) pool.over(link, now), on[link].pop_back();
+    run();
+  }
+  void after(Time t) { now += t, run(); }
+};
+
+TEST(Pool, OneConnectionUntilItsLossWouldCostTooMuchThenAnother) {
+  Rig r;
+  r.settings.calls_at_risk = 10;
+  r.calls_come(8);
+  EXPECT_EQ(r.connects.size(), 1u);  // all wait for the one
+  const auto first = r.stands();
+  EXPECT_EQ(r.on[first].size(), 8u);
+  EXPECT_EQ(r.connects.size(), 1u);
+  r.calls_come(4);
+  EXPECT_EQ(r.on[first].size(), 12u);  // none waits for the second
+  ASSERT_EQ(r.connects.size(), 2u);
+  const auto second = r.stands();
+  r.calls_come(10);
+  EXPECT_EQ(r.on[second].size(), 10u);
+  EXPECT_EQ(r.on[first].size(), 12u);
+  ASSERT_EQ(r.connects.size(), 3u);
+  r.stands();
+  // Little load: the fullest below the risk is used, so that the others become idle and go.
+  r.answered(first, 12), r.answered(second, 7);
+  r.calls_come(1);
+  EXPECT_EQ(r.on[second].size(), 4u);
+  r.after(r.settings.idle);
+  EXPECT_EQ(r.closes.size(), 2u);
+  for (const auto& [link, why] : r.closes) EXPECT_TRUE(why == Why::idle && link != second);
+}
+
+TEST(Pool, KeepsToStreamsConnectionsAndTheCapItMet) {
+  Rig r;
+  r.settings.connections_max = 5;
+  r.calls_come(20);
+  r.stands(1);  // one stream each
+  r.stands(1);
+  EXPECT_EQ(r.pool.waiting(), 18u);
+  // Two connect at once now, as many as stand; the endpoint turns both away: it takes two.
+  ASSERT_EQ(r.connects.size(), 4u);
+  EXPECT_TRUE(r.pool.lost(r.connects[2], r.now).no_connection.empty());  // others stand: nothing failed
+  EXPECT_TRUE(r.pool.lost(r.connects[3], r.now).no_connection.empty());
+  r.run();
+  EXPECT_EQ(r.pool.cap(), 2);
+  EXPECT_EQ(r.connects.size(), 4u);
+  r.after(r.settings.cap_memory);  // tried again, in case it has grown
+  EXPECT_GT(r.connects.size(), 4u);
+  r.stands(1);
+  EXPECT_EQ(r.pool.cap(), 0);
+}
+
+TEST(Pool, WhatWaitsForTheOnlyConnectionFailsWithItAndNothingElse) {
+  Rig r;
+  r.calls_come(3);
+  const auto loss = r.pool.lost(r.connects[0], r.now);
+  EXPECT_EQ(loss.no_connection, (std::vector<CallId>{1, 2, 3}));
+  EXPECT_FALSE(loss.was_standing);
+  r.calls_come(1);
+  r.after(r.settings.connect_timeout);  // no SETTINGS come
+  EXPECT_EQ(r.closes.back().second, Why::connect_timeout);
+  EXPECT_EQ(r.pool.waiting(), 0u);
+  EXPECT_EQ(r.gate.inside(), 0);
+}
+
+TEST(Pool, ADeadConnectionTakesNothingNewButWhatIsOutStaysOut) {
+  Rig r;
+  r.settings.ping_after = 5 * kS;
+  r.calls_come(2);
+  const auto dead = r.stands();
+  r.after(5 * kS);
+  EXPECT_EQ(r.pings, std::vector<LinkId>{dead});
+  r.after(r.settings.ping_timeout);
+  r.calls_come(1);  // it connects anew
+  ASSERT_EQ(r.connects.size(), 2u);
+  const auto fresh = r.stands();
+  EXPECT_EQ(r.on[fresh].size(), 1u);
+  EXPECT_TRUE(r.closes.empty());  // the module alone gives up the two calls
+  // It had only stood still: heard again, it is used again.
+  r.pool.heard(dead, r.now);
+  r.answered(dead, 2);
+  EXPECT_TRUE(r.closes.empty());
+  // Once more, with nothing out: closed before a call could be lost on it.
+  r.after(5 * kS), r.after(r.settings.ping_timeout);
+  const std::pair<LinkId, Why> unhealthy{dead, Why::unhealthy};
+  EXPECT_EQ(std::count(r.closes.begin(), r.closes.end(), unhealthy), 1);
+}
+
+TEST(Pool, AGoawayIsReplacedBeforeACallMustWaitAndSpreadInTime) {
+  std::set<Time> starts;
+  for (std::uint64_t seed = 0; seed < 40; seed++) {
+    Settings settings;
+    Gate gate(10);
+    LinkId next = 1;
+    Pool pool("e", settings, gate, next, seed);
+    std::vector<Step> steps;
+    pool.wait(1);
+    pool.steps(kS, steps);
+    pool.standing(1, kS, 100);
+    pool.steps(kS, steps);
+    pool.draining(1, kS);
+    steps.clear();
+    pool.steps(kS, steps);
+    EXPECT_TRUE(steps.empty());
+    const Time due = pool.next_due();
+    EXPECT_LE(due, kS + settings.replace_spread);
+    starts.insert(due);
+    // A call that comes before that does not wait for it.
+    if (seed % 2) pool.wait(2);
+    pool.steps(seed % 2 ? kS + 1 : due, steps);
+    ASSERT_EQ(steps.size(), 1u);
+    EXPECT_EQ(steps[0].what, Step::Do::connect);
+    // The old one is closed once its call is over.
+    pool.over(1, due), steps.clear(), pool.steps(due, steps);
+    ASSERT_EQ(steps.size(), 1u);
+    EXPECT_EQ(steps[0].why, Why::goaway);
+  }
+  EXPECT_GT(starts.size(), 30u);
+}
+
+// A relay that lost all its connections at once has no more handshakes in progress than the gate lets in.
+TEST(Pool, AReconnectStormPassesTheGateInOrder) {
+  Settings settings;
+  Gate gate(5);
+  LinkId next = 1;
+  std::vector<std::unique_ptr<Pool>> pools;
+  std::map<std::string, Pool*> by_name;
+  std::vector<std::pair<Pool*, LinkId>> connecting;
+  const auto step = [&](Pool& pool) {
+    std::vector<Step> steps;
+    pool.steps(kS, steps);
+    for (const auto& s : steps)
+      if (s.what == Step::Do::connect) connecting.emplace_back(&pool, s.link);
+  };
+  for (int i = 0; i < 50; i++) {
+    pools.push_back(std::make_unique<Pool>("e" + std::to_string(100 + i), settings, gate, next, 1));
+    by_name["e" + std::to_string(100 + i)] = pools.back().get();
+    pools.back()->wait(static_cast<CallId>(i + 1));
+    step(*pools.back());
+  }
+  std::vector<Pool*> order;
+  while (!connecting.empty()) {
+    EXPECT_LE(gate.inside(), 5);
+    const auto [pool, link] = connecting.front();
+    connecting.erase(connecting.begin());
+    order.push_back(pool);
+    if (order.size() == 20) pools[40]->withdraw(41);  // no longer wants one: leaves the queue when asked
+    if (order.size() % 7 == 0)
+      pool->lost(link, kS);
+    else
+      pool->standing(link, kS, 100);
+    for (int guard = 0; guard < 100; guard++) {
+      const auto who = gate.next();
+      if (!who) break;
+      step(*by_name.at(*who));
+    }
+  }
+  EXPECT_EQ(gate.inside(), 0);
+  EXPECT_EQ(gate.queued(), 0u);
+  EXPECT_EQ(order.size(), 49u);
+  // First come, first served.
+  std::vector<Pool*> asked;
+  for (const auto& p : pools)
+    if (p != pools[40]) asked.push_back(p.get());
+  EXPECT_EQ(order, asked);
+}
+
+// Whatever comes: streams and connections within their bounds, no call twice on the way, none forgotten.
+TEST(Pool, RandomUseKeepsItsBounds) {
+  for (std::uint32_t seed = 1; seed <= 200; seed++) {
+    pcg32 random(seed);
+    Rig r;
+    r.settings.connections_max = 1 + static_cast<int>(random(4)),
+    r.settings.streams_max = 1 + static_cast<int>(random(20));
+    r.settings.calls_at_risk = 1 + static_cast<int>(random(30)), r.settings.ping_after = random(2) ? kS : 0;
+    std::set<LinkId> standing, open, drained;
+    std::set<CallId> waiting, out;
+    const auto sync = [&] {
+      r.run();
+      for (const auto id : r.connects) open.insert(id);
+      r.connects.clear();
+      for (const auto& [id, why] : r.closes) {
+        EXPECT_TRUE(r.on[id].empty()) << "closed with calls out";
+        open.erase(id), standing.erase(id), drained.erase(id);
+        r.pool.lost(id, r.now);
+      }
+      for (const auto c : r.failed) EXPECT_EQ(waiting.erase(c), 1u);
+      r.failed.clear();
+      r.closes.clear();
+      for (auto& [id, calls] : r.on) {
+        ASSERT_LE(calls.size(), static_cast<std::size_t>(r.settings.streams_max));
+        for (const auto c : calls)
+          if (waiting.erase(c) > 0) {
+            ASSERT_TRUE(out.insert(c).second);
+          }
+      }
+      ASSERT_EQ(waiting.size(), r.pool.waiting());
+    };
+    for (int step = 0; step < 400; step++) {
+      const auto any = [&](const std::set<LinkId>& s) {
+        return *std::next(s.begin(), static_cast<long>(random(static_cast<std::uint32_t>(s.size()))));
+      };
+      switch (random(7)) {
+        case 0:
+          for (auto n = random(6); n > 0; n--) waiting.insert(++r.calls), r.pool.wait(r.calls);
+          break;
+        case 1:
+          if (!open.empty()) {
+            const auto id = any(open);
+            if (standing.insert(id).second) r.pool.standing(id, r.now, 1 + random(30));
+          }
+          break;
+        case 2:
+          if (!open.empty()) {
+            const auto id = any(open);
+            for (const auto c : r.on[id]) out.erase(c);
+            r.on.erase(id), open.erase(id), standing.erase(id), drained.erase(id);
+            for (const auto c : r.pool.lost(id, r.now).no_connection) EXPECT_EQ(waiting.erase(c), 1u);
+          }
+          break;
+        case 3:
+          if (!standing.empty()) {
+            const auto id = any(standing);
+            r.pool.draining(id, r.now), drained.insert(id);
+          }
+          break;
+        case 4:
+          for (auto& [id, calls] : r.on)
+            if (!calls.empty()) {
+              r.pool.over(id, r.now), out.erase(calls.back()), calls.pop_back();
+              if (random(2)) r.pool.heard(id, r.now);
+            }
+          break;
+        case 5:
+          if (!waiting.empty()) {
+            const auto c = *waiting.begin();
+            EXPECT_TRUE(r.pool.withdraw(c));
+            waiting.erase(c);
+          }
+          break;
+        default:
+          r.now += random(3) * 400 * kMs;
+      }
+      sync();
+      // Those that drain or look dead are replaced, and come on top.
+      if (r.settings.ping_after == 0) {
+        ASSERT_LE(open.size() - drained.size(), static_cast<std::size_t>(r.settings.connections_max));
+      }
+    }
+    EXPECT_LE(r.gate.inside(), 2);
+  }
+}
+
+}  // namespace
+}  // namespace cedarplank::pool
