--- a/bench/delivery_bench.cpp
+++ b/bench/delivery_bench.cpp
@@ -208,6 +208,7 @@
                        relay::Decider {
   void send(const relay::CallOrder&) override {}
   Recalled cancel(relay::CallId) override { return Recalled::sent; }
+  bool take_back(relay::CallId) override { return false; }
   std::vector<relay::CallId> recall(const EndpointId&) override { return {}; }
   void close_idle(const EndpointId&) override {}
   void probe(const EndpointId&) override {}
--- a/rig/observed.cpp
+++ b/rig/observed.cpp
@@ -29,6 +29,8 @@
   std::vector<Call> calls;
   using ClientStreams = std::map<std::pair<std::uint64_t, std::uint32_t>, std::size_t>;
   using EndpointStreams = std::map<std::tuple<std::string, std::uint64_t, std::uint32_t>, std::size_t>;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint32_t>
+      went_away;  // endpoint connections, last stream
   void read(const std::vector<Record>& records);
   void read_client(const Record& r, ClientStreams& streams);
   void read_endpoint(const Record& r, EndpointStreams& streams);
@@ -84,10 +86,14 @@
     Call c;
     c.endpoint = r.place, c.connection = r.connection, c.stream = r.stream, c.at = r.at,
     c.relay = relay_of(r);
+    // Sent before the GOAWAY was read, above its last stream: not taken either.
+    const auto gone = went_away.find({r.place, r.connection});
+    if (gone != went_away.end() && r.stream > gone->second) c.proved_unrun = true, c.proved_at = r.at;
     streams[key] = calls.size();
     calls.push_back(std::move(c));
     return;
   }
+  if (r.what == "GOAWAY" && r.sent) went_away[{r.place, r.connection}] = r.last;
   if (r.what == "CLOSE" || r.what == "GOAWAY") {
     for (auto it = streams.lower_bound({r.place, r.connection, 0});
          it != streams.end() && std::get<0>(it->first) == r.place && std::get<1>(it->first) == r.connection;
@@ -136,7 +142,7 @@
 Observed observe(std::vector<Record> records, const std::map<std::string, bool>& unseen_503) {
   std::stable_sort(records.begin(), records.end(),
                    [](const Record& a, const Record& b) { return a.at < b.at; });
-  Reader reader{unseen_503, {}, {}};
+  Reader reader{unseen_503, {}, {}, {}};
   reader.read(records);
   return {std::move(reader.tries), std::move(reader.calls)};
 }
--- a/rig/scenario.hpp
+++ b/rig/scenario.hpp
@@ -48,5 +48,6 @@
 
 // Throws ConfigError.
 Scenario load_scenario(const std::string& file);
+Scenario parse_scenario(const std::string& file, const std::string& text);
 
 }  // namespace cedarplank::rig
--- a/src/gateway/back.cpp
+++ b/src/gateway/back.cpp
@@ -380,6 +380,14 @@
   return Recalled::sent;
 }
 
+bool Back::take_back(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.link != nullptr) return false;
+  it->second.peer->pool.withdraw(id);
+  calls_.erase(it);
+  return true;
+}
+
 std::vector<relay::CallId> Back::recall(const EndpointId& endpoint) {
   Peer* peer = find(endpoint);
   if (peer == nullptr) return {};
--- a/src/gateway/back.hpp
+++ b/src/gateway/back.hpp
@@ -39,6 +39,7 @@
 
   void send(const relay::CallOrder& call) override;
   Recalled cancel(relay::CallId call) override;
+  bool take_back(relay::CallId call) override;
   std::vector<relay::CallId> recall(const EndpointId& endpoint) override;
   void close_idle(const EndpointId& endpoint) override;
   void probe(const EndpointId& endpoint) override;
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -51,9 +51,22 @@
   it->second.over = true;
   open_--, counts_.withdrawn++;
   events_.push_back(event::Withdrawn{id});
+  take_back_waiting(id);
   forget(id);
 }
 
+// Calls of a message that is over, decided before its end and still waiting for a connection, must not leave
+// any more (rule 1). Guards against a client that gives up while an endpoint with few streams keeps its call
+// waiting.
+void Core::take_back_waiting(MessageId id) {
+  const auto at = messages_.find(id);
+  if (at == messages_.end()) return;
+  const auto out = at->second.out;
+  for (const CallId call : out)
+    if (ports_.transport.take_back(call))
+      end_call(now_, calls_.find(call), {Outcome::not_sent, 0, {}, "the message was over", {}});
+}
+
 void Core::forget(MessageId id) {
   const auto it = messages_.find(id);
   if (it != messages_.end() && it->second.over && it->second.out.empty()) messages_.erase(it);
@@ -140,6 +153,7 @@
   }
   events_.push_back(event::AttemptEnded{call.message, call.attempt, call.endpoint, ending.outcome,
                                         now - call.sent, closed, ending.told_wait, ending.report});
+  if (closed) take_back_waiting(call.message);
   forget(call.message);
 }
 
@@ -238,6 +252,7 @@
       it->second.over = true;
       open_--, counts_.refused++;
       ports_.answers.refused(r->id, r->come_back, account(it->second));
+      take_back_waiting(r->id);
       forget(r->id);
     } else if (const auto* f = std::get_if<action::Fail>(&any)) {
       const auto it = messages_.find(f->id);
@@ -245,6 +260,7 @@
       it->second.over = true;
       open_--, counts_.failed++;
       ports_.answers.failed(f->id, account(it->second));
+      take_back_waiting(f->id);
       forget(f->id);
     } else if (const auto* c = std::get_if<action::Cancel>(&any)) {
       const auto it = messages_.find(c->id);
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -57,6 +57,8 @@
   virtual void send(const CallOrder& call) = 0;
   // Gives the call up; nothing is reported for it afterwards. Tells whether any of it may have left.
   virtual Recalled cancel(CallId call) = 0;
+  // Takes back a call of which nothing has left. False where something has, or it is not known.
+  virtual bool take_back(CallId call) = 0;
   // Takes back all calls to that endpoint of which nothing has left; returns them.
   virtual std::vector<CallId> recall(const EndpointId& endpoint) = 0;
   virtual void close_idle(const EndpointId& endpoint) = 0;
@@ -172,6 +174,7 @@
   void report(const Call& call, const Ending& ending, Time latency);
   void end_call(Time now, std::map<CallId, Call>::iterator it, const Ending& ending);
   void time_out(Time now, CallId id);
+  void take_back_waiting(MessageId id);
   void forget(MessageId id);
   Account account(const Message& m) const { return {m.message->message_class, m.attempts, m.last}; }
   void carry_out(Time now, const std::vector<Action>& actions);
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -58,6 +58,7 @@
   void listen();
   void accept(net::Fd fd);
   void receive(std::uint64_t id, std::string_view bytes);
+  void read(std::uint64_t id, std::string_view bytes);
   void request(Peer& p, http2::StreamId stream, const http2::Headers& headers, const std::string& body);
   void carry_out(Peer& p, http2::StreamId stream, const std::string& message, const std::string& key,
                  const emulator::Plan& plan);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -40,6 +40,11 @@
   Time come_back = 0;
   void send(const CallOrder& c) override { sent.push_back(c); }
   Recalled cancel(CallId c) override { return cancelled.push_back(c), how; }
+  bool take_back(CallId c) override {
+    if (std::find(waiting.begin(), waiting.end(), c) == waiting.end()) return false;
+    std::erase(waiting, c);
+    return true;
+  }
   std::vector<CallId> recall(const EndpointId&) override { return std::exchange(waiting, {}); }
   void close_idle(const EndpointId&) override {}
   void probe(const EndpointId&) override {}
@@ -110,6 +115,30 @@
   EXPECT_EQ(b.core->held(), 0u);
 }
 
+// Found in virtual time: the client gave up while the call waited for a stream, and it was sent afterwards.
+TEST(Core, WhatStillWaitsForAConnectionDoesNotLeaveAfterTheMessagesEnd) {
+  Bench b;
+  for (MessageId id = 1; id <= 4; id++) b.take(id);
+  b.round();
+  b.act({action::Send{1, "e", kS}, action::Send{2, "e", kS}, action::Send{3, "e", kS},
+         action::Send{4, "e", kS}, action::Send{4, "f", kS}});
+  ASSERT_EQ(b.sent.size(), 5u);
+  for (const auto& call : b.sent) b.waiting.push_back(call.id);
+  b.core->withdraw(1);
+  EXPECT_EQ(b.waiting.size(), 4u);
+  b.act({action::Refuse{2, 0}, action::Fail{3}});
+  EXPECT_EQ(b.waiting.size(), 2u);
+  std::erase(b.waiting, b.sent[3].id);  // this one has left
+  b.core->call_ended(b.now, b.sent[3].id, {Outcome::served, 0, {}, "", ""});
+  EXPECT_TRUE(b.waiting.empty());
+  b.round();
+  const auto ended = b.script->all<event::AttemptEnded>();
+  ASSERT_EQ(ended.size(), 5u);
+  for (const auto& e : ended)
+    EXPECT_TRUE(e.closed && (e.outcome == Outcome::not_sent || e.outcome == Outcome::served));
+  EXPECT_EQ(b.core->slots_used(), 0u);
+}
+
 TEST(Core, SlotsAreKeptAndBundlesShareOne) {
   Bench b(2, 3);
   for (MessageId id = 1; id <= 5; id++) b.take(id);
