--- a/lab/record.cpp
+++ b/lab/record.cpp
@@ -120,7 +120,7 @@
 Experiment from_json(const std::string& file, const std::string& bytes) {
   const Reader r{file};
   rapidjson::Document d;
-  d.Parse(bytes.data(), bytes.size());
+  d.Parse<rapidjson::kParseFullPrecisionFlag>(bytes.data(), bytes.size());
   if (d.HasParseError())
     r.fail(fmt::format("byte {}: {}", d.GetErrorOffset(), rapidjson::GetParseError_En(d.GetParseError())));
   if (r.number(d, "format") != kFormat) r.fail("written in another format");
--- a/rig/script.cpp
+++ b/rig/script.cpp
@@ -65,6 +65,16 @@
   pending_told_.clear();
 }
 
+// The list goes before every relay has had time to read its last changes: those count as told when it is back.
+void Script::untell() {
+  const Time read_by_all = stage_.now() - relay_.partners_reread;
+  std::erase_if(facts_.told, [&](const auto& t) {
+    if (t.at <= read_by_all) return false;
+    pending_told_.push_back(t.endpoint);
+    return true;
+  });
+}
+
 void Script::outage(const std::string& endpoint, bool begins) {
   const std::string place = facts_.place_of[endpoint];
   int& n = out_count_[place];
@@ -164,9 +174,11 @@
       return;
     case TroubleKind::list_unreadable:
       list_blocked_ = true;
+      untell();
       return stage_.publish(list_, Stage::Listing::gone);
     case TroubleKind::list_half_written:
       list_half_ = true;
+      untell();
       return publish();
     case TroubleKind::relay_crash:
       stage_.crash(t.relay);
--- a/rig/script.hpp
+++ b/rig/script.hpp
@@ -55,6 +55,7 @@
   void drain_one(std::size_t destination, const std::string& id);
   void write_list();
   void publish();
+  void untell();
   void outage(const std::string& endpoint, bool begins);
   void later(Time after, std::function<void()> f);
   std::vector<std::string> endpoints_of(const std::vector<std::string>& names) const;
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -99,12 +99,28 @@
   dead.facts.lives.push_back({"r", 0, kS - 20 * kMs});
   EXPECT_EQ(dead.broken(), "");
 }
+// A GOAWAY proves calls unrun that were sent before it was read, too.
+TEST(Checker, AGoawayProvesLaterStreamsUnrun) {
+  for (const bool goaway : {false, true}) {
+    Day d;
+    d.push(0, "m-1.0", "pay");
+    if (goaway) d.add(5 * kMs, Record::Side::endpoint, "e1", true, "GOAWAY", 0).last = 1;
+    d.call(10 * kMs, "m-1.0", "e1"), d.call(kS, "m-1.0", "e2");
+    d.reply(kS + 50 * kMs, "m-1.0", "e2", "201"), d.answer(kS + 60 * kMs, "m-1.0", "201");
+    EXPECT_EQ(d.broken(), goaway ? "" : "2");
+  }
+}
 TEST(Checker, Rule1LateTwiceOrAfterTheEnd) {
   Day late;
   late.push(0, "m-1.0", "safe"), late.answer(6'300 * kMs, "m-1.0", "503");
   EXPECT_EQ(late.broken(), "1");
   late.facts.stalls.push_back({"r", 5 * kS, 6'290 * kMs});  // a relay that stands still is not running
   EXPECT_EQ(late.broken(), "");
+  Day slept;  // what comes while it stands still is taken, and its time begins, when it goes on
+  slept.push(0, "m-1.0", "safe"), slept.answer(7 * kS, "m-1.0", "503");
+  EXPECT_EQ(slept.broken(), "1");
+  slept.facts.stalls.push_back({"r", -100 * kMs, kS});
+  EXPECT_EQ(slept.broken(), "");
   Day twice;
   twice.served(0, "m-1.0", "safe"), twice.answer(kS, "m-1.0", "503");
   EXPECT_EQ(twice.broken(), "1");
