Module: what holds one message of a destination back is found once, not for each

Cause: each round looked at every endpoint of its destination for every held message, so that thousands waiting for one destination cost 0.3 us each a round. Change: what was found for one message (no endpoint takes one, when to look again, when told waits end) is kept with the destination until a send, a change of health or the next round; messages that the finding does not cover are looked at as before. No decision changes.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -152,6 +152,11 @@
 struct DestinationState {
   Target target;  // used where endpoints share a limit
   std::vector<EndpointState*> endpoints;
+  // What was found for one message and holds for the next: that no endpoint takes one, when to look again and
+  // whether that leaves out messages which can't be repeated; and when waits end. Each is good for its stamp.
+  std::uint64_t blocked_in = 0, told_in = 0;
+  Time look_at = 0, told_free = 0;
+  bool doubtful = false;
 };
 
 struct Call {
@@ -195,7 +200,7 @@
   std::deque<std::pair<Time, std::string>> resting;  // keys after an attempt in doubt, soonest rested first
   bool list_changed = false;
   std::map<std::uint64_t, Call> calls;
-  std::uint64_t next_call = 1;
+  std::uint64_t next_call = 1, stamp = 0;  // changes with rounds, sends, health
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1, shortest_life = 1;
@@ -363,7 +368,7 @@
     if (now >= e.since + health_span()) {
       // The ramp comes after trials too that the budget never allowed: held messages must not go all at once.
       const bool warm = e.health == Health::ramp;
-      e.health = warm ? Health::open : Health::ramp, e.since = now;
+      e.health = warm ? Health::open : Health::ramp, e.since = now, stamp++;
       if (warm) e.fail_run = 0, e.fail_share = 0;
       log((warm ? "warm " : "forgotten ") + e.info.id);
       if (warm) return now;
@@ -569,12 +574,16 @@
     Time free = kNever;
     const auto it = destinations.find(m.destination);
     if (it == destinations.end()) return now;
+    DestinationState& d = it->second;
+    if (told_only && d.told_in == stamp) return d.told_free;
     for (auto* e : it->second.endpoints) {
       const Target& t = target_of(*e);
       if (e->info.listing == Listing::active)
         free = std::min(free, told_only ? t.wait_until : std::max(t.wait_until, t.hold_until));
     }
-    return free == kNever ? now : std::max(now, free);
+    free = free == kNever ? now : std::max(now, free);
+    if (told_only) d.told_in = stamp, d.told_free = free;
+    return free;
   }
   bool idle(const Message& m) const {
     const auto& all = destinations.at(m.destination).endpoints;
@@ -769,11 +778,23 @@
     double best_price = 0;
     const auto destination = destinations.find(m.destination);
     if (destination == destinations.end()) return false;
-    for (auto* e : destination->second.endpoints) {
-      if (!passes(m, *e, when)) continue;
+    DestinationState& d = destination->second;
+    // Thousands may wait for one destination: nothing has changed since the last one was held back.
+    const bool tied = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone && m.may_ran_zone;
+    const bool careful = m.cls->effect == Effect::unsafe && now < m.aim;
+    const bool known = d.blocked_in == stamp && !tied && !(careful && d.doubtful);
+    if (known) when = d.look_at;
+    for (auto* e : d.endpoints) {
+      if (known || !passes(m, *e, when)) continue;
       const double p = room_in_call(*e) ? -1 : price(m, *e);
       if (best == nullptr || p < best_price) best = e, best_price = p;
     }
+    if (best == nullptr && !known && !tied) {
+      d.doubtful = std::any_of(d.endpoints.begin(), d.endpoints.end(), [](const EndpointState* e) {
+        return e->health == Health::closed && e->doubt_run;
+      });
+      if (!(careful && d.doubtful)) d.blocked_in = stamp, d.look_at = when;
+    }
     if (best == nullptr) {
       // No way to send it in time, and no call out whose serve could open one: given up on.
       if (when < kNever && when >= latest_send(m) && idle(m)) return finish(m), false;
@@ -787,6 +808,7 @@
   }
   void send(Message& m, EndpointState& e) {
     Target& t = target_of(e);
+    stamp++;
     if (!room_in_call(e)) {
       e.open_call = next_call++;
       calls[e.open_call] = Call{&e, now, 0, 0, false, e.used_at < 0 ? 0 : seconds(now - e.used_at)};
@@ -885,7 +907,7 @@
   }
 
   void handle(Time at, const std::vector<Event>& events, std::vector<Action>& actions) {
-    now = std::max(now, at), out = &actions, wake = kNever;
+    now = std::max(now, at), out = &actions, wake = kNever, stamp++;
     for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
     if (set.subscribe) ask();
     dispatch();
