Pool: no call on a connection closed in the same steps, no successor due for ever

Change: the wish for a successor is kept apart from its time and ends with the listing; what is to be closed is taken out at once.

--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -208,6 +208,8 @@
     }
     if (l.asked_at > 0 && now >= l.asked_at + settings_.ping_timeout) l.suspect = true;
     if (l.out <= 0) {
+      // Taken out at once: the same steps must not submit a call on what they close.
+      const auto before = out.size();
       if (l.state == Link::State::draining) {
         close(Why::goaway);
       } else if (!listed_) {
@@ -219,6 +221,10 @@
       } else if (now >= idle_end(l)) {
         close(Why::idle);
       }
+      if (out.size() > before) {
+        l.state = Link::State::closing;
+        continue;
+      }
     }
     const bool silent = settings_.ping_after > 0 && now >= l.heard_at + settings_.ping_after;
     if (silent && l.asked_at == 0 && !l.suspect) {
@@ -258,9 +264,11 @@
     easy += usable(l) && l.out < settings_.calls_at_risk;
   }
   const bool at_risk = standing > 0 && easy == 0;
-  const bool replace = now >= replace_at_;
-  if (open > 0) replace_at_ = kNever;
-  const bool wanted = !waiting_.empty() || probe_wanted_ || at_risk || (replace && open == 0);
+  // Kept apart from its time, which is over now: it may have to wait at the gate. An endpoint that left the
+  // list meanwhile needs no successor; its time would stay due for ever and keep the host turning.
+  if (now >= replace_at_) replace_at_ = kNever, replace_ = true;
+  if (open > 0 || !listed_) replace_at_ = kNever, replace_ = false;
+  const bool wanted = !waiting_.empty() || probe_wanted_ || at_risk || replace_;
   // The first alone; then no more at once than stand already, so that an endpoint sees them double, not
   // burst. One spare is enough.
   const int most = cap_ > 0 ? std::min(cap_, settings_.connections_max) : settings_.connections_max;
@@ -268,7 +276,7 @@
       open < most && connecting < std::max(1, standing) && (connecting == 0 || !waiting_.empty());
   if (!wanted || !listed_ || !may) return gate_.forget(name_);
   if (!gate_.enter(name_)) return;
-  replace_at_ = kNever;
+  replace_at_ = kNever, replace_ = false;
   const LinkId id = next_link_++;
   Link& l = links_[id];
   l.since = now, l.gated = true;
--- a/src/pool/pool.hpp
+++ b/src/pool/pool.hpp
@@ -147,6 +147,7 @@
   bool listed_ = true, close_idle_ = false;
   std::optional<Time> probe_wanted_;
   Time replace_at_ = kNever;
+  bool replace_ = false;
   int cap_ = 0;
   Time cap_until_ = 0;
 };
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -253,7 +253,7 @@
       const auto any = [&](const std::set<LinkId>& s) {
         return *std::next(s.begin(), static_cast<long>(random(static_cast<std::uint32_t>(s.size()))));
       };
-      switch (random(7)) {
+      switch (random(8)) {
         case 0:
           for (auto n = random(6); n > 0; n--) waiting.insert(++r.calls), r.pool.wait(r.calls);
           break;
@@ -291,10 +291,15 @@
             waiting.erase(c);
           }
           break;
+        case 6:
+          r.pool.set_listed(random(4) != 0);
+          break;
         default:
           r.now += random(3) * 400 * kMs;
       }
       sync();
+      // Found in virtual time: what stays due with nothing to do keeps the host turning.
+      ASSERT_GT(r.pool.next_due(), r.now) << "seed " << seed;
       // Those that drain or look dead are replaced, and come on top.
       if (r.settings.ping_after == 0) {
         ASSERT_LE(open.size() - drained.size(), static_cast<std::size_t>(r.settings.connections_max));
