--- a/lab/draw.cpp
+++ b/lab/draw.cpp
@@ -97,12 +97,25 @@
   }
 };
 
-void override_at(YAML::Node node, const std::string& path, const std::string& value) {
+// `path`: keys of maps and places in lists ("destinations.0.servers"). What is not there is made, and left to
+// the schema to refuse.
+void override_at(const std::string& file, YAML::Node node, const std::string& path,
+                 const std::string& value) {
   const auto dot = path.find('.');
-  if (dot == std::string::npos)
-    node[path] = YAML::Load(value);
-  else
-    override_at(node[path.substr(0, dot)], path.substr(dot + 1), value);
+  const std::string key = path.substr(0, dot);
+  YAML::Node next;
+  if (node.IsSequence()) {
+    const bool number =
+        !key.empty() && key.size() < 7 && key.find_first_not_of("0123456789") == std::string::npos;
+    if (!number || std::stoul(key) >= node.size())
+      throw config::ConfigError(
+          {file + ": '" + key + "' names no place in a list of " + std::to_string(node.size())});
+    next.reset(node[std::stoul(key)]);
+  } else {
+    next.reset(node[key]);
+  }
+  if (dot != std::string::npos) return override_at(file, next, path.substr(dot + 1), value);
+  next = YAML::Load(value);
 }
 
 }  // namespace
@@ -118,7 +131,7 @@
   if (!root.IsMap()) throw config::ConfigError({file + ": a day is a map of settings"});
   Drawer drawer{file, pcg64(seed * 6'364'136'223'846'793'005ull + 1)};
   YAML::Node day = drawer.resolve(root);
-  for (const auto& o : overrides) override_at(day, o.path, o.value);
+  for (const auto& o : overrides) override_at(file, day, o.path, o.value);
   day["seed"] = seed;
   YAML::Emitter out;
   out << day;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,5 +1,6 @@
 // The lab: drawn days, the world in virtual time, records, comparisons and shrinking.
 #include <gtest/gtest.h>
+#include <yaml-cpp/yaml.h>
 
 #include <filesystem>
 #include <fstream>
@@ -44,6 +45,17 @@
   EXPECT_GT(days.size(), 45u);
 }
 
+TEST(Draw, OverridesReachMapsAndLists) {
+  const auto day = YAML::Load(draw_day("f", "a: {b: 1}\nl: [{x: 1}, {x: 2}]\n", 1,
+                                       {{"a.b", "5/s"}, {"l.1.x", "7"}, {"new.key", "[1, 2]"}}));
+  EXPECT_EQ(day["a"]["b"].as<std::string>(), "5/s");
+  EXPECT_EQ(day["l"][0]["x"].as<int>(), 1);
+  EXPECT_EQ(day["l"][1]["x"].as<int>(), 7);
+  EXPECT_EQ(day["new"]["key"].size(), 2u);
+  for (const char* path : {"l.2.x", "l.x", "l.-1"})
+    EXPECT_THROW(draw_day("f", "l: [{x: 1}, {x: 2}]\n", 1, {{path, "1"}}), config::ConfigError) << path;
+}
+
 TEST(Draw, ErrorsNameFileLineAndCause) {
   const std::map<std::string, std::string> wrong = {
       {"a: 1\nb: {draw: [1s, 5/s]}\n", "f:2: the bounds of draw have different units: 's' and '/s'"},
