Door: fair shares, memory and lateness decide what is taken; stream limits follow

Need: a relay short of room took whoever came first, so one tenant's flood kept the others out; bodies held had no bound of their own; a late relay told its clients nothing. Change: admission::Door, free of I/O, is asked before a message is taken, in both forms of the engine; clients' MAX_CONCURRENT_STREAMS is cut under overload and raised after (http2::Connection::limit_streams). Not yet flooded on sockets.

--- /dev/null
+++ b/src/admission/door.cpp
@@ -0,0 +1,96 @@
+#include "admission/door.hpp"
+
+#include <algorithm>
+
+namespace cedarplank::admission {
+
+const char* text_of(Answer answer) {
+  switch (answer) {
+    case Answer::take:
+      return "taken";
+    case Answer::full:
+      return "the relay holds all it may; not taken";
+    case Answer::no_memory:
+      return "the bodies held leave no room for this one; not taken";
+    case Answer::over_share:
+      return "the relay is nearly full and this tenant holds its share; not taken";
+    case Answer::overloaded:
+      return "the relay is late with its work and this tenant holds its share; not taken";
+  }
+  return "";
+}
+
+double Door::weight(int tenant) const {
+  const auto i = static_cast<std::size_t>(tenant);
+  return tenant >= 0 && i < settings_.weights.size() && settings_.weights[i] > 0 ? settings_.weights[i] : 1;
+}
+
+std::size_t Door::held_by(int tenant) const {
+  const auto it = holdings_.find(tenant);
+  return it == holdings_.end() ? 0 : it->second.messages;
+}
+
+double Door::fair_share(int tenant) const {
+  const double mine = weight(tenant), all = weights_ + (holdings_.count(tenant) > 0 ? 0 : mine);
+  return static_cast<double>(settings_.held_max) * mine / all;
+}
+
+Answer Door::ask(int tenant, std::int64_t bytes) const {
+  if (held_ >= settings_.held_max) return Answer::full;
+  if (bytes_ + bytes > settings_.bytes_max) return Answer::no_memory;
+  const auto it = holdings_.find(tenant);
+  const Holding mine = it == holdings_.end() ? Holding{} : it->second;
+  const double part = fair_share(tenant) / static_cast<double>(settings_.held_max);
+  const bool short_of =
+      static_cast<double>(held_) >= settings_.share_from * static_cast<double>(settings_.held_max);
+  const bool short_of_bytes =
+      static_cast<double>(bytes_) >= settings_.share_from * static_cast<double>(settings_.bytes_max);
+  if (short_of && static_cast<double>(mine.messages) + 1 > fair_share(tenant)) return Answer::over_share;
+  if (short_of_bytes &&
+      static_cast<double>(mine.bytes + bytes) > part * static_cast<double>(settings_.bytes_max))
+    return Answer::over_share;
+  // Late with the work: what is held already is the work. Who holds more than a part of it waits, so that one
+  // tenant's flood is not everybody's delay; who holds less still comes in.
+  if (overloaded_ && static_cast<double>(mine.messages) >= std::max(1.0, part * static_cast<double>(held_)))
+    return Answer::overloaded;
+  return Answer::take;
+}
+
+void Door::taken(int tenant, std::int64_t bytes) {
+  Holding& h = holdings_[tenant];
+  if (h.messages == 0) weights_ += weight(tenant);
+  h.messages++, h.bytes += bytes;
+  held_++, bytes_ += bytes;
+}
+
+void Door::over(int tenant, std::int64_t bytes) {
+  const auto it = holdings_.find(tenant);
+  if (it == holdings_.end()) return;
+  held_--, bytes_ -= bytes;
+  it->second.bytes -= bytes;
+  if (--it->second.messages > 0) return;
+  weights_ = holdings_.size() == 1 ? 0 : weights_ - weight(tenant);
+  holdings_.erase(it);
+}
+
+void Door::late(Time now, Time lag) {
+  if (interval_from_ < 0) interval_from_ = now, least_lag_ = lag;
+  least_lag_ = std::min(least_lag_, lag);
+  if (now < interval_from_ + settings_.lag_interval) return;
+  overloaded_ = least_lag_ > settings_.lag_target;
+  // Halved and raised as TCP does its window: quickly down, slowly up, so that clients share what there is.
+  if (overloaded_)
+    streams_ = std::max(settings_.streams_min, streams_ / 2);
+  else
+    streams_ = std::min(settings_.streams_max, streams_ + std::max(1, settings_.streams_max / 20));
+  interval_from_ = now, least_lag_ = lag;
+}
+
+void Door::set(const Settings& settings) {
+  settings_ = settings;
+  streams_ = std::clamp(streams_, std::min(settings.streams_min, settings.streams_max), settings.streams_max);
+  weights_ = 0;
+  for (const auto& [tenant, h] : holdings_) weights_ += weight(tenant);
+}
+
+}  // namespace cedarplank::admission
--- a/src/config/relay_settings.cpp
+++ b/src/config/relay_settings.cpp
@@ -16,6 +16,8 @@
   "drain_within": {"type": "string"},
   "body_max": {"type": "string"},
   "body_total_max": {"type": "string"},
+  "held_bytes_max": {"type": "string"},
+  "late_at": {"type": "string"},
   "connections_max": {"type": "integer", "minimum": 1, "maximum": 100000},
   "streams_max": {"type": "integer", "minimum": 1, "maximum": 1000000},
   "stalled_after": {"type": "string"}}},
@@ -155,6 +157,8 @@
   s.drain_within = relay.duration("drain_within", s.drain_within);
   s.body_max = relay.size("body_max", s.body_max);
   s.body_total_max = relay.size("body_total_max", s.body_total_max);
+  s.held_bytes_max = relay.size("held_bytes_max", s.held_bytes_max);
+  s.late_at = relay.duration("late_at", s.late_at);
   s.client_connections_max = relay.integer("connections_max", s.client_connections_max);
   s.client_streams_max = relay.integer("streams_max", s.client_streams_max);
   s.stalled_after = relay.duration("stalled_after", s.stalled_after);
--- a/src/config/relay_settings.hpp
+++ b/src/config/relay_settings.hpp
@@ -32,6 +32,9 @@
   Time drain_within = 10'000'000;  // held messages get their final answers within this time of a stop
   std::int64_t body_max = 64 * 1024;
   std::int64_t body_total_max = 64 * 1024 * 1024;  // bodies that are still coming in, of all clients together
+  std::int64_t held_bytes_max = 256 * 1024 * 1024;  // bodies of the messages that are held
+  Time late_at =
+      500'000;  // turns that take longer, for two intervals on end: overload; fewer requests are let in
   int client_connections_max = 1024;
   int client_streams_max = 1000;           // SETTINGS_MAX_CONCURRENT_STREAMS for clients
   int endpoint_connections_max = 8;        // to one endpoint
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -306,16 +306,13 @@
     order.message.destination = *destination;
     Pending p{order.ticket, std::move(order.callback), loop.now(), *destination, order.message.message_class};
     MessageId id = 0;
-    const auto taken = node->take(std::move(order.message), *this, [&](MessageId named) {
+    const auto entry = node->take(std::move(order.message), *this, [&](MessageId named) {
       id = named;
       pending[id] = std::move(p);
       by_ticket[order.ticket] = id;
     });
     // Never sent: harmless to try again. Stopping, or clients of the front have filled the buffer.
-    if (taken != relay::Core::Taken::yes)
-      answered(id,
-               {0, Final::refused, 0, 0,
-                taken == relay::Core::Taken::full ? "the relay holds all it may" : "the relay is stopping"});
+    if (entry.taken != relay::Core::Taken::yes) answered(id, {0, Final::refused, 0, 0, entry.why});
   }
 
   // Runs on the loop's thread and waits for it; at once where the host's thread is the loop's.
--- a/src/gateway/front.cpp
+++ b/src/gateway/front.cpp
@@ -102,6 +102,7 @@
   std::vector<http2::Event> events;
   c.h2.receive(loop_.now(), bytes, events);
   for (auto& e : events) on_event(c, e);
+  c.h2.limit_streams(static_cast<std::uint32_t>(host_.streams()));
   flush(c);
   if (c.h2.failed() && !c.closing) {
     c.closing = true;
@@ -202,18 +203,18 @@
   c.coming.erase(it);
   if (stopping_) return answer_problem(c, stream, {503, title_of(503), "the relay is stopping; not taken"});
   MessageId id = 0;
-  const auto taken = host_.take(std::move(message), [&](MessageId named) {
+  const auto entry = host_.take(std::move(message), [&](MessageId named) {
     id = named;
     c.taken[stream] = id;
     places_[id] = {c.id, stream};
   });
-  if (taken == relay::Core::Taken::yes) return;
+  if (entry.taken == relay::Core::Taken::yes) return;
   c.taken.erase(stream);
   places_.erase(id);
-  answer_problem(c, stream,
-                 {503, title_of(503),
-                  taken == relay::Core::Taken::full ? "the relay holds all it may; not taken"
-                                                    : "the relay is stopping; not taken"});
+  // Short of room or time, which passes; a relay that stops has no time to come back to.
+  http2::Headers extra;
+  if (entry.taken == relay::Core::Taken::full) extra.push_back({"retry-after", "1"});
+  answer_problem(c, stream, {503, title_of(503), entry.why}, std::move(extra));
 }
 
 void Front::drop_request(Client& c, http2::StreamId stream) {
--- a/src/gateway/front.hpp
+++ b/src/gateway/front.hpp
@@ -21,8 +21,9 @@
   struct Host {
     std::function<std::optional<DestinationId>(const std::string&)> destination;
     // The id is given before any answer can come.
-    std::function<relay::Core::Taken(relay::NewMessage, const std::function<void(MessageId)>& named)> take;
+    std::function<relay::Entry(relay::NewMessage, const std::function<void(MessageId)>& named)> take;
     std::function<void(MessageId)> withdraw;
+    std::function<int()> streams;  // that one client may have open now
     std::function<void(const std::string&)> log;
   };
   // Throws where the address can't be listened on.
--- a/src/http2/connection.cpp
+++ b/src/http2/connection.cpp
@@ -45,7 +45,12 @@
 }
 
 Connection::Connection(Role role, const LocalSettings& local, const Limits& limits)
-    : role_(role), local_(local), limits_(limits), next_stream_(role == Role::client ? 1 : 2) {
+    : role_(role),
+      local_(local),
+      limits_(limits),
+      next_stream_(role == Role::client ? 1 : 2),
+      streams_announced_(local.max_concurrent_streams),
+      streams_allowed_(local.max_concurrent_streams) {
   // Section 3.4: the client's preface, then SETTINGS from either side as the first frame.
   if (role == Role::client) out_.append(kPreface);
   std::vector<std::pair<Setting, std::uint32_t>> settings = {
@@ -355,7 +360,7 @@
       return true;
     }
     last_peer_stream_ = id;
-    if (peer_streams_ >= local_.max_concurrent_streams) {
+    if (peer_streams_ >= streams_allowed_) {
       // Section 5.1.2: refused, which proves to the peer that it was not processed.
       stream_error(id, ErrorCode::refused_stream, "beyond SETTINGS_MAX_CONCURRENT_STREAMS");
       if (!resets_.take(now_, limits_.resets_burst, limits_.resets_per_s))
@@ -498,6 +503,9 @@
     if (!local_acked_) {
       local_acked_ = true;
       decoder_.set_limit(local_.header_table_size);
+    } else if (!streams_unacked_.empty()) {
+      streams_allowed_ = streams_unacked_.front();
+      streams_unacked_.pop_front();
     }
     return control_frame();
   }
@@ -729,6 +737,14 @@
   if (!failed_ && eight_bytes.size() == 8) put_frame(FrameType::ping, 0, 0, eight_bytes, out_);
 }
 
+void Connection::limit_streams(std::uint32_t most) {
+  // A peer that acknowledges nothing must not make this side collect what it was told.
+  if (failed_ || role_ == Role::client || most == streams_announced_ || streams_unacked_.size() >= 8) return;
+  put_settings({{Setting::max_concurrent_streams, most}}, out_);
+  streams_announced_ = most;
+  streams_unacked_.push_back(most);
+}
+
 void Connection::announce_shutdown() {
   if (!failed_ && !goaway_sent_) put_goaway(kMaxStream, ErrorCode::no_error, {}, out_);
 }
--- a/src/http2/connection.hpp
+++ b/src/http2/connection.hpp
@@ -88,6 +88,9 @@
   // Ends a stream from this side; nothing is reported for it afterwards.
   void reset(StreamId stream, ErrorCode code);
   void ping(std::string_view eight_bytes);
+  // Server: from now on the peer may have so many streams open. Enforced once it has acknowledged
+  // (section 6.5.3); streams that are open already go on.
+  void limit_streams(std::uint32_t most);
   // Graceful end (section 6.8): first announce, so that requests on their way are still taken; then goaway.
   void announce_shutdown();
   void goaway(ErrorCode code = ErrorCode::no_error, std::string_view debug = {});
@@ -157,10 +160,12 @@
   HpackDecoder decoder_;
   HpackEncoder encoder_;
   Streams streams_;
-  std::size_t peer_streams_ = 0;  // of streams_, those that the peer opened
+  std::deque<std::uint32_t> streams_unacked_;  // announced after the first SETTINGS
+  std::size_t peer_streams_ = 0;               // of streams_, those that the peer opened
   StreamId next_stream_, last_peer_stream_ = 0;
-  std::set<StreamId> pending_;        // streams with a body that waits for a window
-  StreamId last_served_pending_ = 0;  // where the round robin goes on
+  std::uint32_t streams_announced_, streams_allowed_;  // to the peer; as it has acknowledged
+  std::set<StreamId> pending_;                         // streams with a body that waits for a window
+  StreamId last_served_pending_ = 0;                   // where the round robin goes on
   std::size_t unsent_body_ = 0;
   std::deque<StreamId> reset_order_;  // streams that this side reset of late: frames may still be on the way
   std::set<StreamId> reset_recently_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,11 +6,12 @@
 
 namespace cedarplank::node {
 relay::Answers* Node::Router::take(MessageId id) {
-  const auto it = to.find(id);
-  if (it == to.end()) return nullptr;
-  relay::Answers* answers = it->second;
-  to.erase(it);
-  return answers;
+  const auto it = places.find(id);
+  if (it == places.end()) return nullptr;
+  const Place place = it->second;
+  places.erase(it);
+  door.over(place.tenant, place.bytes);
+  return place.to;
 }
 void Node::Router::served(MessageId id, const relay::Ending& ending) {
   if (auto* a = take(id)) a->served(id, ending);
@@ -23,7 +24,7 @@
 }
 
 Node::Node(loop::Loop& loop, config::RelaySettings settings, LogSink log, DeciderMaker decider, bool serve)
-    : loop_(loop), settings_(std::move(settings)), log_(std::move(log)) {
+    : loop_(loop), settings_(std::move(settings)), log_(std::move(log)), door_(door_settings()) {
   core_log_.sink = log_;
   list_ = std::make_unique<ListFile>(
       loop_, settings_,
@@ -52,6 +53,7 @@
                   return take(std::move(message), *front_, named);
                 },
             .withdraw = [this](MessageId id) { withdraw(id); },
+            .streams = [this] { return door_.streams(); },
             .log = [this](const std::string& text) { log_("front", text); }});
   back_ = std::make_unique<gateway::Back>(
       loop_, settings_,
@@ -74,19 +76,39 @@
   loop_.cancel(timer_);
 }
 
-relay::Core::Taken Node::take(relay::NewMessage message, relay::Answers& to,
-                              const std::function<void(MessageId)>& named) {
+admission::Settings Node::door_settings() const {
+  admission::Settings s;
+  s.held_max = static_cast<std::size_t>(settings_.dispatcher.open_max);
+  s.bytes_max = settings_.held_bytes_max, s.lag_target = settings_.late_at;
+  s.streams_max = settings_.client_streams_max;
+  s.streams_min = std::min(s.streams_min, s.streams_max);
+  for (const auto& t : settings_.dispatcher.tenants) s.weights.push_back(t.quota_per_s);
+  return s;
+}
+
+relay::Entry Node::take(relay::NewMessage message, relay::Answers& to,
+                        const std::function<void(MessageId)>& named) {
   poke();
   const MessageId id = next_message_++;
-  router_.to[id] = &to;
+  const int tenant = message.tenant;
+  const auto bytes = static_cast<std::int64_t>(message.body.size());
   named(id);
+  const auto answer = door_.ask(tenant, bytes);
+  if (answer != admission::Answer::take && !core_->stopping()) {
+    core_->turned_away();
+    return {relay::Core::Taken::full, text_of(answer)};
+  }
+  router_.places[id] = {&to, tenant, bytes};
+  door_.taken(tenant, bytes);
   const auto taken = core_->take(loop_.now(), id, std::move(message));
-  if (taken != relay::Core::Taken::yes) router_.to.erase(id);
-  return taken;
+  if (taken == relay::Core::Taken::yes) return {taken, ""};
+  router_.take(id);
+  return {taken, taken == relay::Core::Taken::full ? text_of(admission::Answer::full)
+                                                   : "the relay is stopping; not taken"};
 }
 
 void Node::withdraw(MessageId id) {
-  router_.to.erase(id);
+  router_.take(id);
   core_->withdraw(id);
   poke();
 }
@@ -106,6 +128,8 @@
   settings_.endpoint_calls_at_risk = s.endpoint_calls_at_risk, settings_.handshakes_max = s.handshakes_max;
   settings_.endpoint_ping_after = s.endpoint_ping_after;
   settings_.endpoint_ping_timeout = s.endpoint_ping_timeout;
+  settings_.held_bytes_max = s.held_bytes_max, settings_.late_at = s.late_at;
+  door_.set(door_settings());
   back_->settings_changed();
 }
 
@@ -116,7 +140,11 @@
   loop_.defer([this, alive = alive_] {
     if (!*alive) return;
     poked_ = false;
+    const Time begun = loop_.now();
     core_->turn(loop_.refresh());
+    // How long what came in this turn had to wait for the turn's work.
+    const Time now = loop_.refresh();
+    door_.late(now, now - begun);
     rearm();
   });
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "admission/door.hpp"
 #include "gateway/back.hpp"
 #include "gateway/front.hpp"
 #include "node/list_file.hpp"
@@ -26,8 +27,10 @@
   std::string address() const { return front_ ? front_->address() : ""; }
 
   // A message from elsewhere than the front. `named` is told its id before any answer can come to `to`.
-  relay::Core::Taken take(relay::NewMessage message, relay::Answers& to,
-                          const std::function<void(MessageId)>& named);
+  // Turned away by the door where the relay is short of buffer, memory or time: never taken, so harmless to
+  // repeat.
+  relay::Entry take(relay::NewMessage message, relay::Answers& to,
+                    const std::function<void(MessageId)>& named);
   void withdraw(MessageId id);
   std::optional<DestinationId> destination(const std::string& name) const { return book_.destination(name); }
   const std::string& name_of(DestinationId id) const { return book_.name_of(id); }
@@ -42,13 +45,21 @@
   bool drained() const { return core_->held() == 0 && (!front_ || front_->drained()); }
 
   const relay::Core& core() const { return *core_; }
+  const admission::Door& door() const { return door_; }
   std::uint64_t connections_opened() const { return back_->opened(); }
 
  private:
   // Answers go to whoever handed the message in.
   struct Router final : relay::Answers {
-    std::map<MessageId, relay::Answers*> to;
-    relay::Answers* take(MessageId id);
+    struct Place {
+      relay::Answers* to = nullptr;
+      int tenant = -1;
+      std::int64_t bytes = 0;
+    };
+    explicit Router(admission::Door& d) : door(d) {}
+    admission::Door& door;
+    std::map<MessageId, Place> places;
+    relay::Answers* take(MessageId id);  // also tells the door
     void served(MessageId id, const relay::Ending& ending) override;
     void refused(MessageId id, Time come_back, const relay::Account& account) override;
     void failed(MessageId id, const relay::Account& account) override;
@@ -56,6 +67,7 @@
 
   void poke();  // what is due now or later gets its turn
   void rearm();
+  admission::Settings door_settings() const;
 
   struct CoreLog final : relay::Log {
     LogSink sink;
@@ -66,7 +78,8 @@
   config::RelaySettings settings_;
   LogSink log_;
   CoreLog core_log_;
-  Router router_;
+  admission::Door door_;
+  Router router_{door_};
   MessageId next_message_ = 1;
   relay::PartnerBook book_;
   std::unique_ptr<ListFile> list_;
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -120,6 +120,8 @@
   // A message from a client. False: not taken, since the buffer is full or the relay is stopping.
   enum class Taken { yes, full, stopping };
   Taken take(Time now, MessageId id, NewMessage message);
+  // One was turned away before it came here; counted with those that take() did not take.
+  void turned_away() { counts_.not_taken++; }
   // Its client no longer wants it; no answer is given.
   void withdraw(MessageId id);
 
@@ -140,6 +142,7 @@
   // Gives every held message its final answer now, by fate_at_stop().
   void end_all(Time now);
 
+  bool stopping() const { return stopping_; }
   std::size_t held() const { return open_; }
   std::size_t slots_used() const { return bundles_.size(); }
   struct Counts {
@@ -201,4 +204,10 @@
   Counts counts_;
 };
 
+// What became of a message that was handed in, and why in words where it was not taken.
+struct Entry {
+  Core::Taken taken = Core::Taken::yes;
+  const char* why = "";
+};
+
 }  // namespace cedarplank::relay
--- /dev/null
+++ b/tests/door_test.cpp
@@ -0,0 +1,102 @@
+// The relay's door, without sockets.
+#include "admission/door.hpp"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <pcg_random.hpp>
+
+namespace cedarplank::admission {
+namespace {
+
+constexpr Time kMs = 1'000;
+
+TEST(Door, TakesAllWhileThereIsRoom) {
+  Door d({.held_max = 100, .bytes_max = 1'000});
+  for (int i = 0; i < 95; i++) {
+    ASSERT_EQ(d.ask(0, 10), Answer::take) << i;
+    d.taken(0, 10);
+  }
+  // Alone it may have everything; there is nobody to keep room for.
+  EXPECT_EQ(d.ask(0, 10), Answer::take);
+  EXPECT_EQ(d.ask(0, 51), Answer::no_memory);
+  for (int i = 95; i < 100; i++) d.taken(0, 0);
+  EXPECT_EQ(d.ask(0, 0), Answer::full);
+  for (int i = 0; i < 100; i++) d.over(0, i < 95 ? 10 : 0);
+  EXPECT_EQ(d.held(), 0u);
+  EXPECT_EQ(d.ask(0, 1'000), Answer::take);
+}
+
+// One tenant sends six times its share: the others' messages come in all the same.
+TEST(Door, AFloodOfOneTenantLeavesTheOthersTheirShare) {
+  for (const bool weighted : {false, true}) {
+    Settings s{.held_max = 1'000};
+    if (weighted) s.weights = {1, 1, 2};
+    Door d(s);
+    pcg32 random(3);
+    std::deque<int> held;
+    std::map<int, int> asked, taken;
+    for (int step = 0; step < 60'000; step++) {
+      // Served: 100 a step of 1,000 asked; tenant 0 asks six times as much as each of the others.
+      const int dice = static_cast<int>(random(8));
+      const int tenant = dice < 6 ? 0 : dice - 5;
+      if (step > 5'000) asked[tenant]++;
+      if (d.ask(tenant, 100) == Answer::take) {
+        d.taken(tenant, 100), held.push_back(tenant);
+        if (step > 5'000) taken[tenant]++;
+      }
+      if (step % 2 == 0 && !held.empty()) d.over(held.front(), 100), held.pop_front();
+      ASSERT_LE(d.held(), 1'000u);
+    }
+    // Half of all can be served. The others asked for a quarter: they get it, the flood the rest.
+    for (const int tenant : {1, 2}) EXPECT_GT(taken[tenant], asked[tenant] * 95 / 100) << tenant;
+    EXPECT_LT(taken[0], asked[0] / 2);
+    EXPECT_GT(taken[0], asked[0] / 4);
+  }
+}
+
+TEST(Door, SharesFollowWeightsAndWhoIsThere) {
+  Door d({.held_max = 900, .weights = {1, 2, 0}});
+  EXPECT_DOUBLE_EQ(d.fair_share(0), 900);
+  d.taken(1, 0);
+  EXPECT_DOUBLE_EQ(d.fair_share(0), 300);
+  EXPECT_DOUBLE_EQ(d.fair_share(1), 900);
+  d.taken(-1, 0), d.taken(0, 0);  // no tenant is one by itself
+  EXPECT_DOUBLE_EQ(d.fair_share(1), 450);
+  EXPECT_DOUBLE_EQ(d.fair_share(2), 180);  // without a weight: 1
+  d.over(1, 0), d.over(0, 0), d.over(-1, 0);
+  EXPECT_DOUBLE_EQ(d.fair_share(1), 900);
+}
+
+TEST(Door, LatenessThatLastsIsOverloadAndCutsWhatClientsMayHaveOpen) {
+  Door d({.held_max = 1'000, .streams_max = 400, .streams_min = 10});
+  Time now = 0;
+  const auto go = [&](Time lag, Time span) {
+    for (const Time end = now + span; now < end; now += 10 * kMs) d.late(now, lag);
+  };
+  go(0, 2'000 * kMs);
+  EXPECT_EQ(d.streams(), 400);
+  // A burst that is worked off in between is none.
+  for (int i = 0; i < 20; i++) go(300 * kMs, 200 * kMs), go(20 * kMs, 20 * kMs);
+  EXPECT_FALSE(d.overloaded());
+  go(300 * kMs, 1'100 * kMs);
+  EXPECT_TRUE(d.overloaded());
+  EXPECT_LE(d.streams(), 200);
+  // Now who holds most of the work waits, and who holds little comes in.
+  for (int i = 0; i < 90; i++) d.taken(0, 1);
+  for (int i = 0; i < 10; i++) d.taken(1, 1);
+  EXPECT_EQ(d.ask(0, 1), Answer::overloaded);
+  EXPECT_EQ(d.ask(1, 1), Answer::take);
+  EXPECT_EQ(d.ask(2, 1), Answer::take);
+  go(300 * kMs, 10'000 * kMs);
+  EXPECT_EQ(d.streams(), 10);
+  go(0, 1'100 * kMs);
+  EXPECT_FALSE(d.overloaded());
+  EXPECT_EQ(d.ask(0, 1), Answer::take);
+  EXPECT_LT(d.streams(), 100);
+  go(0, 15'000 * kMs);
+  EXPECT_EQ(d.streams(), 400);
+}
+
+}  // namespace
+}  // namespace cedarplank::admission
--- a/tests/http2_test.cpp
+++ b/tests/http2_test.cpp
@@ -223,6 +223,35 @@
   return body;
 }
 
+TEST(Connection, AStreamLimitMayChangeInServiceAndHoldsOnceItIsAcknowledged) {
+  LocalSettings local;
+  local.max_concurrent_streams = 3;
+  Pair p(local);
+  p.run();
+  for (int i = 0; i < 3; i++) p.client.request(kRequest, "");
+  EXPECT_FALSE(p.client.can_request());
+  p.run();
+  p.server.limit_streams(1);
+  p.run();
+  EXPECT_EQ(p.client.peer_max_streams(), 1u);
+  EXPECT_EQ(p.server.streams(), 3u);  // what is open goes on
+  ASSERT_TRUE(p.server.respond(1, kCreated, "") && p.server.respond(3, kCreated, ""));
+  p.run();
+  EXPECT_FALSE(p.client.can_request());
+  ASSERT_TRUE(p.server.respond(5, kCreated, ""));
+  p.run();
+  EXPECT_NE(p.client.request(kRequest, ""), 0u);
+  EXPECT_FALSE(p.client.can_request());
+  // Sent before the lower limit was read: not refused.
+  p.server.limit_streams(3);
+  p.run();
+  p.client.request(kRequest, ""), p.client.request(kRequest, "");
+  p.server.limit_streams(1);
+  p.run();
+  EXPECT_EQ(count(p.at_client, Type::reset), 0u);
+  EXPECT_EQ(p.server.streams(), 3u);
+}
+
 // A client that reads a reset with the answer loses the answer: short bodies may come to their end.
 TEST(Connection, AnAnswerBeforeTheWholeRequestAsksForAnEndOnlyOfLongBodies) {
   for (const std::size_t size : {std::size_t{1'000}, std::size_t{1} << 20}) {
