Read again: one partner list, tenants without a quota keep a share, no figures made up

Cause, found on reading the whole change: tenants without a quota weighed 1 beside quotas of hundreds a second, so that they got next to no share at the door; lateness was measured only in turns that input brought; the lab printed 0 for what sockets don't tell, kept the version for the revision, built the partner list a second time and had dead members; the back asked for room in two places. Change: who has no quota weighs the mean; one Node::turn() is measured however it came; figures that are not seen are left out; revisions come from the checkout; one standin::partner_list; one takes_more(). Tests: the door in the node, with tenants and memory (it failed before the fix), and stream limits reaching a client. Left: lab and back each drive the pool, alike in shape; what they do at each step differs (streams and proofs there, virtual connections here).

--- a/app/lab.cpp
+++ b/app/lab.cpp
@@ -43,7 +43,7 @@
   throw std::runtime_error("--policies: '" + name + "' is none of " + all);
 }
 
-lab::Figures on_sockets(const rig::Scenario& scenario) {
+lab::Cell on_sockets(const rig::Scenario& scenario) {
   rig::DrillOptions options;
   options.quiet = true;
   options.relay_command = {std::filesystem::read_symlink("/proc/self/exe").string(), "relay"};
@@ -53,7 +53,10 @@
   f.effects = r.effects, f.falls = r.falls, f.doubled = r.doubled, f.unanswered = r.unanswered;
   f.calls = r.calls, f.refused_calls = r.refused_calls;
   f.virtual_s = f.real_s = r.took_s;
-  return f;
+  auto cell = lab::cell_of(f);
+  for (const char* unseen : {"held_most", "connections"})
+    cell.values.erase(unseen);  // kept by the relays alone
+  return cell;
 }
 
 lab::Experiment load(const std::string& file) { return lab::from_json(file, config::read_file(file)); }
@@ -65,7 +68,7 @@
   });
   if (!quiet) fmt::print(stderr, "\n");
   e.name = name.empty() ? std::filesystem::path(plan.day).stem().string() : name;
-  e.revision = CEDARPLANK_VERSION;
+  e.revision = CEDARPLANK_REVISION;
   fmt::print("{}{}", lab::table_of(e), lab::broken_rules_of(e, 20));
   if (!out.empty()) {
     std::ofstream file(out, std::ios::trunc);
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -27,7 +27,7 @@
   struct Second {
     std::uint64_t asked = 0, served = 0, in_aim = 0, calls = 0, refused_calls = 0;
     std::size_t held = 0;
-    std::vector<std::uint64_t> served_by_class, asked_by_class;
+    std::vector<std::uint64_t> served_by_class;
   };
   std::vector<Second> seconds;
   double virtual_s = 0, real_s = 0;
--- a/src/admission/door.cpp
+++ b/src/admission/door.cpp
@@ -22,7 +22,8 @@
 
 double Door::weight(int tenant) const {
   const auto i = static_cast<std::size_t>(tenant);
-  return tenant >= 0 && i < settings_.weights.size() && settings_.weights[i] > 0 ? settings_.weights[i] : 1;
+  return tenant >= 0 && i < settings_.weights.size() && settings_.weights[i] > 0 ? settings_.weights[i]
+                                                                                 : usual_weight_;
 }
 
 std::size_t Door::held_by(int tenant) const {
@@ -88,6 +89,11 @@
 
 void Door::set(const Settings& settings) {
   settings_ = settings;
+  // Weights are quotas, in whatever measure: who has none must not count as next to nothing beside them.
+  double sum = 0, n = 0;
+  for (const double w : settings.weights)
+    if (w > 0) sum += w, n++;
+  usual_weight_ = n > 0 ? sum / n : 1;
   streams_ = std::clamp(streams_, std::min(settings.streams_min, settings.streams_max), settings.streams_max);
   weights_ = 0;
   for (const auto& [tenant, h] : holdings_) weights_ += weight(tenant);
--- a/src/admission/door.hpp
+++ b/src/admission/door.hpp
@@ -22,11 +22,11 @@
   std::size_t held_max = 1000;                 // messages, of all tenants
   std::int64_t bytes_max = 256 * 1024 * 1024;  // of their bodies
   double share_from = 0.95;                    // of either: above it nobody gets more than a fair share
-  std::vector<double> weights = {};            // of the tenants; those without one, and no tenant, weigh 1
-  Time lag_target = 100'000;                   // the host may be so late with its work
-  Time lag_interval = 500'000;  // when it is later for so long without a break, it is overloaded
-  int streams_max = 1000;       // requests that one client may have open
-  int streams_min = 10;         // and under overload
+  std::vector<double> weights = {};  // of the tenants; those without one, and no tenant, weigh their mean
+  Time lag_target = 100'000;         // the host may be so late with its work
+  Time lag_interval = 500'000;       // when it is later for so long without a break, it is overloaded
+  int streams_max = 1000;            // requests that one client may have open
+  int streams_min = 10;              // and under overload
 };
 
 enum class Answer {
@@ -40,7 +40,7 @@
 
 class Door {
  public:
-  explicit Door(const Settings& settings) : settings_(settings), streams_(settings.streams_max) {}
+  explicit Door(const Settings& settings) : streams_(settings.streams_max) { set(settings); }
 
   // May a message with a body of that size come in? -1: no tenant.
   Answer ask(int tenant, std::int64_t bytes) const;
@@ -72,7 +72,8 @@
   std::map<int, Holding> holdings_;  // of tenants that hold any
   std::size_t held_ = 0;
   std::int64_t bytes_ = 0;
-  double weights_ = 0;  // of those
+  double weights_ = 0;       // of those
+  double usual_weight_ = 1;  // of who has none
   bool overloaded_ = false;
   int streams_;
   Time interval_from_ = -1, least_lag_ = 0;
--- a/src/gateway/back.cpp
+++ b/src/gateway/back.cpp
@@ -170,26 +170,24 @@
   if (link.h2.has_output() && link.stream) link.stream->write(link.h2.take_output());
 }
 
+// Nothing is put behind bytes that the endpoint doesn't read: it could no longer be called back.
+bool Back::takes_more(const Link& link) {
+  return link.h2.can_request() && link.stream->queued() == link.stream->flushed() &&
+         link.h2.unsent_body() == 0;
+}
+
 // What the connection itself knows of its room, for the pool.
 void Back::look_at_room(Peer& peer, Link& link) {
   if (!link.h2.standing() || !link.stream || link.closing) return;
   peer.pool.set_streams_max(link.id, link.h2.peer_max_streams());
-  // Also streams whose answers still have a body coming count for the peer's maximum.
-  const bool full = link.h2.streams() >=
-                    std::min<std::uint64_t>(link.h2.peer_max_streams(),
-                                            static_cast<std::uint64_t>(settings_.endpoint_streams_max));
-  peer.pool.set_blocked(link.id, full || !link.h2.can_request() ||
-                                     link.stream->queued() != link.stream->flushed() ||
-                                     link.h2.unsent_body() > 0);
+  // Streams whose answers still have a body coming count too; the pool doesn't know them.
+  const bool full = link.h2.streams() >= static_cast<std::size_t>(settings_.endpoint_streams_max);
+  peer.pool.set_blocked(link.id, full || !takes_more(link));
 }
 
 bool Back::submit(Peer& peer, Link& link, CallId id) {
   Call& call = calls_.at(id);
-  // An earlier submission of the same steps has filled what the endpoint reads at once: this one waits.
-  look_at_room(peer, link);
-  const bool room =
-      link.h2.can_request() && link.stream->queued() == link.stream->flushed() && link.h2.unsent_body() == 0;
-  if (!room) {
+  if (!takes_more(link)) {  // an earlier submission of the same steps has filled what is read at once
     peer.pool.over(link.id, loop_.now());
     return false;
   }
--- a/src/gateway/back.hpp
+++ b/src/gateway/back.hpp
@@ -46,7 +46,7 @@
 
   std::uint64_t opened() const { return opened_; }
   // Settings that may change in service have changed.
-  void settings_changed() { read_settings(); }
+  void read_settings();
 
  private:
   using CallId = relay::CallId;
@@ -79,7 +79,6 @@
     std::uint64_t begins_at = 0;  // place of its first byte in what the connection sends
   };
 
-  void read_settings();
   Peer* find(const EndpointId& id);
   void pump(const EndpointId& id);  // does what the pool says is to be done
   void pump_soon(Peer& peer);       // at the turn's end, so that sends of one round go out together
@@ -87,6 +86,7 @@
   void connect(Peer& peer, pool::LinkId id);
   void receive(const EndpointId& id, pool::LinkId link, std::string_view bytes);
   void on_event(Peer& peer, Link& link, http2::Event& e);
+  static bool takes_more(const Link& link);
   void look_at_room(Peer& peer, Link& link);
   bool submit(Peer& peer, Link& link, CallId id);  // false: it had no room
   void end(CallId id, relay::Ending ending);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -130,7 +130,7 @@
   settings_.endpoint_ping_timeout = s.endpoint_ping_timeout;
   settings_.held_bytes_max = s.held_bytes_max, settings_.late_at = s.late_at;
   door_.set(door_settings());
-  back_->settings_changed();
+  back_->read_settings();
 }
 
 void Node::poke() {
@@ -140,15 +140,19 @@
   loop_.defer([this, alive = alive_] {
     if (!*alive) return;
     poked_ = false;
-    const Time begun = loop_.now();
-    core_->turn(loop_.refresh());
-    // How long what came in this turn had to wait for the turn's work.
-    const Time now = loop_.refresh();
-    door_.late(now, now - begun);
-    rearm();
+    turn();
   });
 }
 
+void Node::turn() {
+  const Time begun = loop_.now();
+  core_->turn(loop_.refresh());
+  // How long what came in this turn of the loop had to wait for its work.
+  const Time now = loop_.refresh();
+  door_.late(now, now - begun);
+  rearm();
+}
+
 void Node::rearm() {
   const Time due = core_->next_due();
   if (timer_ != 0 && timer_at_ <= due) return;  // it fires in time, and then looks again
@@ -157,8 +161,7 @@
   timer_at_ = due;
   timer_ = loop_.at(due, [this] {
     timer_ = 0;
-    core_->turn(loop_.now());
-    rearm();
+    turn();
   });
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -66,6 +66,7 @@
   };
 
   void poke();  // what is due now or later gets its turn
+  void turn();
   void rearm();
   admission::Settings door_settings() const;
 
--- a/standin/settings.hpp
+++ b/standin/settings.hpp
@@ -1,6 +1,7 @@
 // Settings of stand-ins: destinations, their endpoints, and faults on a timeline.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -45,7 +46,10 @@
 std::vector<Endpoint*> find_endpoints(std::vector<std::unique_ptr<Destination>>& all,
                                       const std::string& name);
 
-// The partner list of running stand-ins.
+// The partner list of these destinations, whose endpoints stand at `address(destination, endpoint)`.
+config::PartnerList partner_list(const std::vector<Listed>& listed, const config::Names& names,
+                                 std::int64_t version,
+                                 const std::function<std::string(std::size_t, std::size_t)>& address);
 config::PartnerList partner_list(const std::vector<Listed>& listed,
                                  std::vector<std::unique_ptr<Destination>>& running,
                                  const config::Names& names, std::int64_t version);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -326,6 +326,55 @@
   EXPECT_EQ(s.node->core().counts().not_taken, full);
 }
 
+// The door stands before the core, in tenants' shares, and forgets what is over.
+TEST(Service, ShortOfRoomOrMemoryATenantGetsItsShare) {
+  Service s;
+  s.settings.dispatcher.open_max = 20, s.settings.held_bytes_max = 5'000;
+  s.add("c", 1);
+  s.start();
+  const auto take = [&](int tenant, std::size_t bytes) {
+    relay::NewMessage m;
+    m.destination = *s.node->destination("c"), m.tenant = tenant, m.time_left = 6 * kS;
+    m.body.assign(bytes, 'x');
+    struct Deaf final : relay::Answers {
+      void served(MessageId, const relay::Ending&) override {}
+      void refused(MessageId, Time, const relay::Account&) override {}
+      void failed(MessageId, const relay::Account&) override {}
+    };
+    static Deaf deaf;
+    return s.node->take(std::move(m), deaf, [](MessageId) {});
+  };
+  turn(s.loop, [&] { return s.node->destination("c").has_value(); });
+  EXPECT_EQ(take(-1, 10).taken, relay::Core::Taken::yes);
+  EXPECT_NE(std::string(take(0, 5'000).why).find("bodies held"), std::string::npos);
+  for (int i = 0; i < 18; i++) EXPECT_EQ(take(0, 10).taken, relay::Core::Taken::yes) << i;
+  EXPECT_NE(std::string(take(0, 10).why).find("holds its share"), std::string::npos);
+  EXPECT_EQ(take(-1, 10).taken, relay::Core::Taken::yes);
+  EXPECT_NE(std::string(take(-1, 10).why).find("all it may"), std::string::npos);
+  EXPECT_EQ(s.node->core().counts().not_taken, 3u);
+  turn(s.loop, [&] { return s.node->core().held() == 0; });
+  EXPECT_EQ(s.node->door().held(), 0u);
+}
+
+TEST(Service, ClientsAreToldHowManyStreamsTheyMayOpenNow) {
+  Service s;
+  int streams = 50;
+  gateway::Front front(
+      s.loop, s.settings,
+      {.destination = [](const std::string&) { return std::optional<DestinationId>(); },
+       .take = [](relay::NewMessage, const std::function<void(MessageId)>&) { return relay::Entry{}; },
+       .withdraw = [](MessageId) {},
+       .streams = [&] { return streams; },
+       .log = [](const std::string&) {}});
+  Client c(s.loop, front.address());
+  for (const int now : {50, 7, 30}) {
+    streams = now;
+    const auto id = c.push("/push/c/pay", "x");
+    turn(s.loop,
+         [&] { return c.answers[id] == 1 && c.h2.peer_max_streams() == static_cast<std::uint32_t>(now); });
+  }
+}
+
 // A stop: what is held ends by fate; refused only where no attempt may have run.
 TEST(Service, AStopGivesEachHeldMessageItsFinalAnswer) {
   Service s;
