relay::Desk: door, core and stories in one, for sockets and lab; floods tested on sockets

What a flood by one tenant does had not been seen on sockets. Tests: a tenant at six times its share, bound by quota in the module and by memory at the door; 500 clients, 50 of them reading nothing. 'check' notes quotas that nothing enforces.

--- a/app/check.cpp
+++ b/app/check.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 
 #include "app/commands.hpp"
@@ -27,6 +28,10 @@
       std::printf("%s: fine: %zu classes, %zu kinds, %zu tenants; %zu endpoints listed\n", config->c_str(),
                   s.names.classes.size(), s.names.kinds.size(), s.names.tenants.size(),
                   list.endpoints.size());
+      const auto& tenants = s.dispatcher.tenants;
+      if (s.dispatcher.over_share_worth >= 1 &&
+          std::any_of(tenants.begin(), tenants.end(), [](const auto& t) { return t.quota_per_s > 0; }))
+        std::puts("note: tenants have quotas, but with dispatcher.over_share_worth of 1 nothing yields beyond them");
       return Exit::ok;
     };
   });
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -8,8 +8,8 @@
 #include "gateway/semantics.hpp"
 #include "lab/clock.hpp"
 #include "pool/pool.hpp"
+#include "relay/desk.hpp"
 #include "relay/partner_book.hpp"
-#include "relay/story.hpp"
 
 namespace cedarplank::lab {
 namespace {
@@ -59,7 +59,7 @@
   std::uint64_t life() const { return life_; }
   Time started() const { return started_; }
   const std::string& name() const { return name_; }
-  std::size_t held() const { return core_ ? core_->held() : 0; }
+  std::size_t held() const { return desk_ ? desk_->core().held() : 0; }
   std::uint64_t opened() const { return opened_; }
 
   // Runs `f` on this relay at a time, unless that life is over by then; later where it stands still.
@@ -67,7 +67,7 @@
   void take(std::size_t try_index, relay::NewMessage message);
   void give_up(std::size_t try_index);
   void look_at_list();
-  void note(int from, const std::string& body) { core_->note(from, body), poke(); }
+  void note(int from, const std::string& body) { desk_->core().note(from, body), poke(); }
 
   // From endpoints.
   void standing(const ConnRef& c, std::uint32_t streams);
@@ -128,7 +128,7 @@
   World& w_;
   const int rank_;
   const std::string name_;
-  Settings settings_;
+  config::RelaySettings settings_;
   std::uint64_t life_ = 0, opened_ = 0;
   bool up_ = false, stalled_ = false;
   std::vector<std::function<void()>> backlog_;
@@ -139,9 +139,7 @@
   std::map<EndpointId, std::unique_ptr<Peer>> peers_;
   std::map<relay::CallId, Call> calls_;
   std::unique_ptr<relay::PartnerBook> book_;
-  std::unique_ptr<trace::Recorder> trace_;
-  std::unique_ptr<relay::Core> core_;
-  MessageId next_message_ = 1;
+  std::unique_ptr<relay::Desk> desk_;
   std::map<MessageId, std::size_t> try_of_;
   std::map<std::size_t, MessageId> message_of_;
   bool poked_ = false;
@@ -247,10 +245,9 @@
 // ---- The relay ----
 
 Relay::Relay(World& world, int rank) : w_(world), rank_(rank), name_("relay-" + std::to_string(rank)) {
-  const auto& s = w_.settings();
-  settings_ = s.dispatcher;
-  settings_.relays = w_.relays(), settings_.rank = rank;
-  settings_.peers = true;  // as on sockets, where drills give each relay its peers
+  const auto& s = settings_ = w_.settings();
+  settings_.dispatcher.relays = w_.relays(), settings_.dispatcher.rank = rank;
+  settings_.dispatcher.peers = true;  // as on sockets, where drills give each relay its peers
   pool_settings_.connections_max = s.endpoint_connections_max,
   pool_settings_.streams_max = s.endpoint_streams_max;
   pool_settings_.calls_at_risk = s.endpoint_calls_at_risk;
@@ -264,19 +261,20 @@
   gate_ = std::make_unique<pool::Gate>(w_.settings().handshakes_max);
   book_ = std::make_unique<relay::PartnerBook>();
   const std::uint64_t seed = w_.seed() * 1000 + static_cast<std::uint64_t>(rank_) + 1;
+  settings_.seed = seed;
+  trace::Recorder::Sink story;
   if (w_.keeps_stories())
-    trace_ = std::make_unique<trace::Recorder>(
-        relay::trace_settings(w_.settings()), seed, [this](trace::Story&& s) {
-          s.message = name_ + "-" + std::to_string(life_) + "-" + std::to_string(s.id);
-          w_.keep(std::move(s));
-        });
-  core_ = std::make_unique<relay::Core>(settings_, make_decider(w_.policy(), settings_, seed),
-                                        relay::Core::Ports{*this, *this, *this, *this, *this, trace_.get()});
+    story = [this](trace::Story&& told) {
+      told.message = name_ + "-" + std::to_string(life_) + "-" + std::to_string(told.id);
+      w_.keep(std::move(told));
+    };
+  desk_ = std::make_unique<relay::Desk>(settings_, make_decider(w_.policy(), settings_.dispatcher, seed),
+                                        relay::Desk::Ports{*this, *this, *this, *this, std::move(story)});
   poked_ = false, timer_at_ = 0;
   // Started while the list can't be read: by the copy that it kept.
   auto update = book_->take(w_.list(), w_.clock.now());
   set_endpoints();
-  core_->list_whole(std::move(update.endpoints), w_.list_state() != rig::Stage::Listing::whole);
+  desk_->core().list_whole(std::move(update.endpoints), w_.list_state() != rig::Stage::Listing::whole);
   poke();
 }
 
@@ -284,8 +282,7 @@
   up_ = false, life_++;
   for (auto& [id, peer] : peers_)
     for (auto& [n, c] : peer->conns) w_.close_conn(c);
-  core_.reset(), trace_.reset(), peers_.clear(), calls_.clear(), try_of_.clear(), message_of_.clear(),
-      backlog_.clear();
+  desk_.reset(), peers_.clear(), calls_.clear(), try_of_.clear(), message_of_.clear(), backlog_.clear();
   gate_.reset();
 }
 
@@ -312,19 +309,19 @@
   poked_ = true;
   on_relay_now([this] {
     poked_ = false;
-    core_->turn(w_.clock.now());
+    desk_->core().turn(w_.clock.now());
     rearm_core();
   });
 }
 
 void Relay::rearm_core() {
-  const Time due = core_->next_due();
+  const Time due = desk_->core().next_due();
   if (due == kNever || (timer_at_ > w_.clock.now() && timer_at_ <= due)) return;
   timer_at_ = due;
   on_relay(due, [this, due] {
     if (timer_at_ != due) return;  // an earlier one was set meanwhile
     timer_at_ = 0;
-    core_->turn(w_.clock.now());
+    desk_->core().turn(w_.clock.now());
     rearm_core();
   });
 }
@@ -333,15 +330,15 @@
   const auto destination = book_->destination(message.topic.substr(0, message.topic.find('/')));
   if (!destination) return w_.answer(try_index, "404", 0);
   message.destination = *destination, message.topic.clear();
-  const MessageId id = next_message_++;
-  try_of_[id] = try_index, message_of_[try_index] = id;
-  std::optional<trace::Head> story;
-  if (trace_)
-    story = relay::head_of(message, book_->name_of(message.destination), w_.clock.now(), w_.settings());
-  const bool taken = core_->take(w_.clock.now(), id, std::move(message)) == relay::Core::Taken::yes;
-  if (story && taken) trace_->begin(w_.clock.now(), id, std::move(*story));
-  if (story && !taken) trace_->turned_away(w_.clock.now(), id, std::move(*story), "the buffer is full");
-  if (!taken) answer(id, "503", 0);
+  const std::string name = book_->name_of(*destination);
+  MessageId id = 0;
+  const auto entry = desk_->take(w_.clock.now(), std::move(message), name, *this, [&](MessageId named) {
+    id = named;
+    try_of_[id] = try_index, message_of_[try_index] = id;
+  });
+  // As the front does: short of room, which passes.
+  if (entry.taken != relay::Core::Taken::yes)
+    answer(id, "503", entry.taken == relay::Core::Taken::full ? 1'000'000 : 0);
   poke();
 }
 
@@ -350,7 +347,7 @@
   if (it == message_of_.end()) return;
   const MessageId id = it->second;
   try_of_.erase(id), message_of_.erase(it);
-  core_->withdraw(id);
+  desk_->withdraw(w_.clock.now(), id);
   poke();
 }
 
@@ -364,13 +361,13 @@
 
 void Relay::look_at_list() {
   if (w_.list_state() != rig::Stage::Listing::whole) {
-    core_->list_failed();
+    desk_->core().list_failed();
     on_relay(w_.clock.now() + w_.settings().partners_reread, [this] { look_at_list(); });
     return poke();
   }
   auto update = book_->take(w_.list(), w_.clock.now());
   set_endpoints();
-  core_->list_changes(std::move(update.endpoints));
+  desk_->core().list_changes(std::move(update.endpoints));
   poke();
 }
 
@@ -409,7 +406,7 @@
 
 void Relay::end(relay::CallId id, relay::Ending ending) {
   calls_.erase(id);
-  core_->call_ended(w_.clock.now(), id, std::move(ending));
+  desk_->core().call_ended(w_.clock.now(), id, std::move(ending));
   poke();
 }
 
@@ -453,12 +450,7 @@
         Call& call = calls_.at(step.call);
         call.conn = c;
         c->at_relay.insert(step.call);
-        if (trace_) {
-          trace::Step carried;
-          carried.at = w_.clock.now(), carried.what = trace::Step::What::carried;
-          carried.attempt = call.order.attempt, carried.connection = step.link;
-          trace_->step(call.order.message_id, std::move(carried));
-        }
+        desk_->carried(w_.clock.now(), call.order, step.link, 0);
         w_.call(c, step.call, call.order.message);
       } else if (step.what == pool::Step::Do::ping) {
         w_.ping(c);
@@ -550,8 +542,8 @@
   for (const auto id : out)
     end(id, gateway::ending_of_break(gateway::Break::reset, http2::ErrorCode::no_error, why));
   if (loss.probe)
-    core_->probe_ended(c->endpoint, loss.was_standing ? Outcome::reset : Outcome::connect_failed,
-                       *loss.probe);
+    desk_->core().probe_ended(c->endpoint, loss.was_standing ? Outcome::reset : Outcome::connect_failed,
+                              *loss.probe);
   for (const auto id : loss.no_connection)
     end(id, gateway::ending_of_break(gateway::Break::no_connection, http2::ErrorCode::no_error, why));
   if (Peer* still = find(c->endpoint)) pump_soon(*still);
@@ -591,7 +583,7 @@
   Peer* peer = find(c->endpoint);
   if (peer == nullptr) return;
   if (const auto latency = peer->pool.pong(c->link, w_.clock.now())) {
-    core_->probe_ended(c->endpoint, Outcome::served, *latency);
+    desk_->core().probe_ended(c->endpoint, Outcome::served, *latency);
     poke();
   }
   pump(c->endpoint);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,42 +4,18 @@
 
 #include <algorithm>
 
-#include "relay/story.hpp"
-
 namespace cedarplank::node {
-relay::Answers* Node::Router::take(MessageId id) {
-  const auto it = places.find(id);
-  if (it == places.end()) return nullptr;
-  const Place place = it->second;
-  places.erase(it);
-  door.over(place.tenant, place.bytes);
-  return place.to;
-}
-void Node::Router::served(MessageId id, const relay::Ending& ending) {
-  if (auto* a = take(id)) a->served(id, ending);
-}
-void Node::Router::refused(MessageId id, Time come_back, const relay::Account& account) {
-  if (auto* a = take(id)) a->refused(id, come_back, account);
-}
-void Node::Router::failed(MessageId id, const relay::Account& account) {
-  if (auto* a = take(id)) a->failed(id, account);
-}
 
 Node::Node(loop::Loop& loop, config::RelaySettings settings, LogSink log, DeciderMaker decider, bool serve)
-    : loop_(loop), settings_(std::move(settings)), log_(std::move(log)), door_(door_settings()) {
+    : loop_(loop), settings_(std::move(settings)), log_(std::move(log)) {
   core_log_.sink = log_;
+  trace::Recorder::Sink story;
   if (!settings_.trace_file.empty()) {
     trace_file_ = std::make_unique<trace::File>(
-        trace::File::Options{settings_.trace_file, static_cast<std::size_t>(settings_.trace_file_bytes),
-                             static_cast<std::size_t>(settings_.trace_files)});
-    trace_ = std::make_unique<trace::Recorder>(
-        relay::trace_settings(settings_), settings_.seed, [this](trace::Story&& s) {
-          timespec t{};
-          clock_gettime(CLOCK_REALTIME, &t);
-          s.wall = std::int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1'000 - (loop_.now() - s.taken);
-          s.message = settings_.name + "-" + std::to_string(s.id);
-          trace_file_->write(s);
-        });
+        trace::File::Options{.file = settings_.trace_file,
+                             .bytes = static_cast<std::size_t>(settings_.trace_file_bytes),
+                             .files = static_cast<std::size_t>(settings_.trace_files)});
+    story = [this](trace::Story&& s) { keep(std::move(s)); };
     look_at_trace();
   }
   list_ = std::make_unique<ListFile>(
@@ -50,15 +26,16 @@
                            for (const auto& problem : update.problems) log_("list_problem", problem);
                            back_->set_endpoints(book_.list().endpoints);
                            if (update.whole)
-                             core_->list_whole(std::move(update.endpoints), cached);
+                             desk_->core().list_whole(std::move(update.endpoints), cached);
                            else
-                             core_->list_changes(std::move(update.endpoints));
+                             desk_->core().list_changes(std::move(update.endpoints));
                            poke();
                          },
-                     .failed = [this] { core_->list_failed(), poke(); },
+                     .failed = [this] { desk_->core().list_failed(), poke(); },
                      .log = [this](const std::string& text) { log_("list", text); }});
-  notes_ = std::make_unique<PeerNotes>(
-      loop_, settings_, [this](int from, std::string body) { core_->note(from, std::move(body)), poke(); });
+  notes_ = std::make_unique<PeerNotes>(loop_, settings_, [this](int from, std::string body) {
+    desk_->core().note(from, std::move(body)), poke();
+  });
   if (serve)
     front_ = std::make_unique<gateway::Front>(
         loop_, settings_,
@@ -69,30 +46,24 @@
                   return take(std::move(message), *front_, named);
                 },
             .withdraw = [this](MessageId id) { withdraw(id); },
-            .streams = [this] { return door_.streams(); },
+            .streams = [this] { return desk_->door().streams(); },
             .log = [this](const std::string& text) { log_("front", text); }});
   back_ = std::make_unique<gateway::Back>(
       loop_, settings_,
       gateway::Back::Host{
           .ended =
               [this](relay::CallId id, relay::Ending ending) {
-                core_->call_ended(loop_.now(), id, std::move(ending)), poke();
+                desk_->core().call_ended(loop_.now(), id, std::move(ending)), poke();
               },
           .probe_ended = [this](const EndpointId& e, Outcome outcome,
-                                Time latency) { core_->probe_ended(e, outcome, latency), poke(); },
-          .carried =
-              [this](const relay::CallOrder& call, pool::LinkId link, http2::StreamId stream) {
-                if (!trace_) return;
-                trace::Step step;
-                step.at = loop_.now(), step.what = trace::Step::What::carried, step.attempt = call.attempt;
-                step.connection = link, step.stream = stream;
-                trace_->step(call.message_id, std::move(step));
-              },
+                                Time latency) { desk_->core().probe_ended(e, outcome, latency), poke(); },
+          .carried = [this](const relay::CallOrder& call, pool::LinkId link,
+                            http2::StreamId stream) { desk_->carried(loop_.now(), call, link, stream); },
           .wall = [] { return static_cast<std::int64_t>(time(nullptr)); },
           .log = [this](const std::string& text) { log_("back", text); }});
-  core_ = std::make_unique<relay::Core>(
-      settings_.dispatcher, decider(settings_.dispatcher, settings_.seed),
-      relay::Core::Ports{*back_, router_, *list_, *notes_, core_log_, trace_.get()});
+  desk_ =
+      std::make_unique<relay::Desk>(settings_, decider(settings_.dispatcher, settings_.seed),
+                                    relay::Desk::Ports{*back_, *list_, *notes_, core_log_, std::move(story)});
   list_->start();
 }
 
@@ -101,6 +72,14 @@
   loop_.cancel(timer_), loop_.cancel(trace_timer_);
 }
 
+void Node::keep(trace::Story&& s) {
+  timespec t{};
+  clock_gettime(CLOCK_REALTIME, &t);
+  s.wall = std::int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1'000 - (loop_.now() - s.taken);
+  s.message = settings_.name + "-" + std::to_string(s.id);
+  trace_file_->write(s);
+}
+
 // What was written shows within a second; what was lost is told once for all that came since.
 void Node::look_at_trace() {
   trace_file_->flush();
@@ -112,55 +91,22 @@
   trace_timer_ = loop_.after(1'000'000, [this] { look_at_trace(); });
 }
 
-admission::Settings Node::door_settings() const {
-  admission::Settings s;
-  s.held_max = static_cast<std::size_t>(settings_.dispatcher.open_max);
-  s.bytes_max = settings_.held_bytes_max, s.lag_target = settings_.late_at;
-  s.streams_max = settings_.client_streams_max;
-  s.streams_min = std::min(s.streams_min, s.streams_max);
-  for (const auto& t : settings_.dispatcher.tenants) s.weights.push_back(t.quota_per_s);
-  return s;
-}
-
 relay::Entry Node::take(relay::NewMessage message, relay::Answers& to,
                         const std::function<void(MessageId)>& named) {
   poke();
-  const MessageId id = next_message_++;
-  const int tenant = message.tenant;
-  const auto bytes = static_cast<std::int64_t>(message.body.size());
-  named(id);
-  std::optional<trace::Head> story;
-  if (trace_) story = relay::head_of(message, book_.name_of(message.destination), loop_.now(), settings_);
-  const auto answer = door_.ask(tenant, bytes);
-  if (answer != admission::Answer::take && !core_->stopping()) {
-    core_->turned_away();
-    if (story) trace_->turned_away(loop_.now(), id, std::move(*story), text_of(answer));
-    return {relay::Core::Taken::full, text_of(answer)};
-  }
-  router_.places[id] = {&to, tenant, bytes};
-  door_.taken(tenant, bytes);
-  const auto taken = core_->take(loop_.now(), id, std::move(message));
-  if (taken == relay::Core::Taken::yes) {
-    if (story) trace_->begin(loop_.now(), id, std::move(*story));
-    return {taken, ""};
-  }
-  router_.take(id);
-  const char* why = taken == relay::Core::Taken::full ? text_of(admission::Answer::full)
-                                                      : "the relay is stopping; not taken";
-  if (story) trace_->turned_away(loop_.now(), id, std::move(*story), why);
-  return {taken, why};
+  const std::string& destination = book_.name_of(message.destination);
+  return desk_->take(loop_.now(), std::move(message), destination, to, named);
 }
 
 void Node::withdraw(MessageId id) {
-  router_.take(id);
-  core_->withdraw(id);
+  desk_->withdraw(loop_.now(), id);
   poke();
 }
 
-void Node::end_all() { core_->end_all(loop_.refresh()); }
+void Node::end_all() { desk_->core().end_all(loop_.refresh()); }
 
 void Node::stop_taking() {
-  core_->stop_taking();
+  desk_->core().stop_taking();
   if (front_) front_->stop_taking();
 }
 
@@ -175,9 +121,8 @@
   settings_.trace_memory = s.trace_memory, settings_.trace_steps = s.trace_steps;
   settings_.trace_sample = s.trace_sample, settings_.trace_per_s = s.trace_per_s;
   settings_.trace_watch = s.trace_watch;
-  if (trace_) trace_->set(relay::trace_settings(settings_));
   settings_.held_bytes_max = s.held_bytes_max, settings_.late_at = s.late_at;
-  door_.set(door_settings());
+  desk_->set(settings_);
   back_->read_settings();
 }
 
@@ -194,15 +139,15 @@
 
 void Node::turn() {
   const Time begun = loop_.now();
-  core_->turn(loop_.refresh());
+  desk_->core().turn(loop_.refresh());
   // How long what came in this turn of the loop had to wait for its work.
   const Time now = loop_.refresh();
-  door_.late(now, now - begun);
+  desk_->door().late(now, now - begun);
   rearm();
 }
 
 void Node::rearm() {
-  const Time due = core_->next_due();
+  const Time due = desk_->core().next_due();
   if (timer_ != 0 && timer_at_ <= due) return;  // it fires in time, and then looks again
   loop_.cancel(timer_), timer_ = 0;
   if (due == std::numeric_limits<Time>::max()) return;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,14 +5,13 @@
 #include <functional>
 #include <memory>
 
-#include "admission/door.hpp"
 #include "gateway/back.hpp"
 #include "gateway/front.hpp"
 #include "node/list_file.hpp"
 #include "node/peer_notes.hpp"
+#include "relay/desk.hpp"
 #include "relay/partner_book.hpp"
 #include "trace/file.hpp"
-#include "trace/recorder.hpp"
 
 namespace cedarplank::node {
 
@@ -44,35 +43,18 @@
   const config::RelaySettings& settings() const { return settings_; }
 
   // Nothing is held and every client's answer is written.
-  bool drained() const { return core_->held() == 0 && (!front_ || front_->drained()); }
+  bool drained() const { return core().held() == 0 && (!front_ || front_->drained()); }
 
-  const relay::Core& core() const { return *core_; }
-  const admission::Door& door() const { return door_; }
-  const trace::Recorder* trace() const { return trace_.get(); }
+  const relay::Core& core() const { return desk_->core(); }
+  const admission::Door& door() const { return desk_->door(); }
   std::uint64_t connections_opened() const { return back_->opened(); }
 
  private:
-  // Answers go to whoever handed the message in.
-  struct Router final : relay::Answers {
-    struct Place {
-      relay::Answers* to = nullptr;
-      int tenant = -1;
-      std::int64_t bytes = 0;
-    };
-    explicit Router(admission::Door& d) : door(d) {}
-    admission::Door& door;
-    std::map<MessageId, Place> places;
-    relay::Answers* take(MessageId id);  // also tells the door
-    void served(MessageId id, const relay::Ending& ending) override;
-    void refused(MessageId id, Time come_back, const relay::Account& account) override;
-    void failed(MessageId id, const relay::Account& account) override;
-  };
-
+  void keep(trace::Story&& story);
   void look_at_trace();
   void poke();  // what is due now or later gets its turn
   void turn();
   void rearm();
-  admission::Settings door_settings() const;
 
   struct CoreLog final : relay::Log {
     LogSink sink;
@@ -83,19 +65,15 @@
   config::RelaySettings settings_;
   LogSink log_;
   CoreLog core_log_;
-  admission::Door door_;
-  Router router_{door_};
-  MessageId next_message_ = 1;
   relay::PartnerBook book_;
-  std::unique_ptr<trace::File> trace_file_;  // both: where stories are kept
-  std::unique_ptr<trace::Recorder> trace_;
-  std::uint64_t trace_lost_ = 0;  // as last told
+  std::unique_ptr<trace::File> trace_file_;  // where stories are kept
+  std::uint64_t trace_lost_ = 0;             // as last told
   loop::TimerId trace_timer_ = 0;
   std::unique_ptr<ListFile> list_;
   std::unique_ptr<PeerNotes> notes_;
   std::unique_ptr<gateway::Front> front_;
   std::unique_ptr<gateway::Back> back_;
-  std::unique_ptr<relay::Core> core_;
+  std::unique_ptr<relay::Desk> desk_;
   bool poked_ = false;
   loop::TimerId timer_ = 0;
   Time timer_at_ = 0;
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -68,7 +68,8 @@
   return Taken::yes;
 }
 
-void Core::withdraw(MessageId id) {
+void Core::withdraw(Time now, MessageId id) {
+  now_ = std::max(now_, now);
   const auto it = messages_.find(id);
   if (it == messages_.end() || it->second.over) return;
   it->second.over = true;
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -128,7 +128,7 @@
   // One was turned away before it came here; counted with those that take() did not take.
   void turned_away() { counts_.not_taken++; }
   // Its client no longer wants it; no answer is given.
-  void withdraw(MessageId id);
+  void withdraw(Time now, MessageId id);
 
   void call_ended(Time now, CallId call, Ending ending);
   void probe_ended(EndpointId endpoint, Outcome outcome, Time latency);
--- a/tests/burst_test.cpp
+++ b/tests/burst_test.cpp
@@ -83,8 +83,8 @@
   return all;
 }
 
-// Five endpoints, one after the other, take a message and drop their connection without a word in the middle of
-// 10,000; clients reset single streams all the time, and one resets all of its at once, beyond what a
+// Five endpoints, one after the other, take a message and drop their connection without a word in the middle
+// of 10,000; clients reset single streams all the time, and one resets all of its at once, beyond what a
 // connection is allowed on odd seeds.
 TEST(Burst, TenThousandMixedMessagesWithDropsAndResets) {
   for (const auto seed : seeds()) {
@@ -216,5 +216,92 @@
   EXPECT_TRUE(verdict.kept()) << rig::table_of(verdict);
 }
 
+// One tenant of three sends six times its share for as long as it likes, more than the partners can serve;
+// the others are served as before. Returns how many the door turned away.
+std::uint64_t flood(const std::function<void(config::RelaySettings&)>& adjust) {
+  Burst b(5);
+  auto& settings = b.s.settings;
+  settings.names.tenants = {"a", "b", "c"};
+  settings.dispatcher.tenants.assign(3, {.quota_per_s = 80});
+  settings.dispatcher.open_max = 300;
+  adjust(settings);
+  auto place = Service::quick();
+  place.servers = 2, place.service = 10 * kMs, place.queue = 50;  // 200 a second, each of two; 590 are asked
+  b.add(2, 1, place);
+  b.load.skew = 0, b.load.rate = 220, b.load.count = 3'500, b.load.outstanding = 0;
+  b.load.tenants = settings.names.tenants, b.load.tenant_field = settings.tenant_field;
+  b.start();
+  b.client->book().set_greedy(1, 6);
+  b.client->book().set_rate_times(8.0 / 3);  // 1 + 6 + 1 parts instead of three: the others ask as before
+  turn(
+      b.s.loop, [&] { return b.client->done(); }, 120 * kS);
+  std::map<std::pair<std::uint64_t, std::uint32_t>, std::string> tenant_of;
+  std::map<std::string, std::pair<int, int>> served;  // of asked, by tenant
+  for (const auto& r : b.records) {
+    const auto stream = std::pair(r.connection, r.stream);
+    if (r.what == "HEADERS" && r.sent) {
+      const auto it = r.fields.find("x-tenant");
+      if (it != r.fields.end()) tenant_of[stream] = it->second, served[it->second].second++;
+    } else if (r.what == "HEADERS" && tenant_of.count(stream) > 0) {
+      served[tenant_of[stream]].first += r.fields.at(":status") == "201";
+    }
+  }
+  const auto share = [&](const char* t) { return served[t].first / std::max(1.0, 1.0 * served[t].second); };
+  EXPECT_GT(served["b"].second, 4 * served["a"].second);
+  EXPECT_LT(share("b"), 0.8) << "there was no flood";
+  EXPECT_GT(share("a"), 0.95);
+  EXPECT_GT(share("c"), 0.95);
+  const auto not_taken = b.s.node->core().counts().not_taken;
+  b.s.node.reset();
+  const auto verdict = b.verdict();
+  EXPECT_TRUE(verdict.kept()) << rig::table_of(verdict);
+  return not_taken;
+}
+
+// By quota, in the module: what is beyond it is worth less, and goes first when the buffer fills.
+TEST(Burst, ATenantBeyondItsQuotaYieldsInTheModule) {
+  EXPECT_EQ(flood([](config::RelaySettings& s) { s.dispatcher.over_share_worth = 0.2; }), 0u);
+}
+
+// Where memory for bodies runs short, of which the module knows nothing, by fair shares at the door.
+TEST(Burst, ATenantBeyondItsShareOfMemoryYieldsAtTheDoor) {
+  EXPECT_GT(flood([](config::RelaySettings& s) { s.held_bytes_max = 50'000; }), 500u);
+}
+
+// 500 clients at once on one poll(2), a tenth of which read none of their answers: the others' are all
+// served.
+TEST(Burst, ManyClientsAndSomeThatReadNothing) {
+  Service s;
+  s.settings.dispatcher.open_max = 5'000;
+  s.add("c", 2);
+  s.start();
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 500; i++) {
+    clients.push_back(std::make_unique<Client>(s.loop, s.node->address()));
+    if (i % 10 == 0) clients.back()->stream->pause_reading(true);
+  }
+  for (int n = 0; n < 4; n++)
+    for (std::size_t i = 0; i < clients.size(); i++)
+      clients[i]->push("/push/c/pay", "id=c" + std::to_string(i) + "-" + std::to_string(n) + ";class=pay;");
+  const auto answered = [&] {
+    return std::all_of(clients.begin(), clients.end(), [&](const auto& c) {
+      return (&c - clients.data()) % 10 == 0 || c->answers.size() == 4;
+    });
+  };
+  turn(s.loop, answered);
+  for (std::size_t i = 0; i < clients.size(); i++) {
+    if (i % 10 == 0) continue;
+    for (const auto& [stream, n] : clients[i]->answers) {
+      EXPECT_EQ(n, 1);
+      EXPECT_EQ(clients[i]->status(stream), "201");
+    }
+  }
+  for (std::size_t i = 0; i < clients.size(); i += 10) clients[i]->stream->pause_reading(false);
+  turn(s.loop, [&] {
+    return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return c->answers.size() == 4; });
+  });
+  EXPECT_EQ(s.effects.size(), 2'000u);
+}
+
 }  // namespace
 }  // namespace cedarplank::testing
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -124,7 +124,7 @@
          action::Send{4, "e", kS}, action::Send{4, "f", kS}});
   ASSERT_EQ(b.sent.size(), 5u);
   for (const auto& call : b.sent) b.waiting.push_back(call.id);
-  b.core->withdraw(1);
+  b.core->withdraw(b.now, 1);
   EXPECT_EQ(b.waiting.size(), 4u);
   b.act({action::Refuse{2, 0}, action::Fail{3}});
   EXPECT_EQ(b.waiting.size(), 2u);
@@ -235,7 +235,7 @@
   Bench b;
   b.take(1), b.round();
   b.act({action::Send{1, "e", kS}});
-  b.core->withdraw(1), b.core->withdraw(1);
+  b.core->withdraw(b.now, 1), b.core->withdraw(b.now, 1);
   b.act({action::Send{1, "e", kS}, action::Refuse{1, 0}});
   EXPECT_EQ(b.sent.size(), 1u);
   EXPECT_TRUE(b.answers.empty());
