Emulator: a repeated key is known when it arrives, not when the call is worked on

Change: Partner decides at arrival whether a call is a repeat, as a receiver does; take_effect no longer judges. Test fails without.

--- a/emulator/partner.cpp
+++ b/emulator/partner.cpp
@@ -133,8 +133,15 @@
   return plan;
 }
 
+// A receiver knows a repeat when it arrives, whether or not the first is done by then: on a slow partner one
+// that came within the key's time would else take effect after it.
 Plan Partner::call(const std::string& endpoint, Time now, const Call& call) {
-  if (!settings_.answers.empty()) return by_script(now, call.message);
+  Plan plan = settings_.answers.empty() ? by_state(endpoint, now, call) : by_script(now, call.message);
+  if (plan.runs && is_repeat(now, call.key)) plan.runs = false;  // dropped, and answered all the same
+  return plan;
+}
+
+Plan Partner::by_state(const std::string& endpoint, Time now, const Call& call) {
   Endpoint& e = endpoints_.at(endpoint);
   Plan plan;
   plan.at = now;
@@ -169,12 +176,12 @@
   return plan;
 }
 
-bool Partner::take_effect(Time now, const std::string& key) {
-  if (key.empty() || settings_.key_window <= 0) return true;
+bool Partner::is_repeat(Time now, const std::string& key) {
+  if (key.empty() || settings_.key_window <= 0) return false;
   const auto [it, fresh] = keys_.try_emplace(key, now);
-  if (!fresh && now < it->second + settings_.key_window) return false;  // a repeat: dropped
+  if (!fresh && now < it->second + settings_.key_window) return true;
   it->second = now;
-  return true;
+  return false;
 }
 
 }  // namespace cedarplank::emulator
--- a/emulator/partner.hpp
+++ b/emulator/partner.hpp
@@ -102,8 +102,6 @@
     bool alone = true;  // no other call is out on its connection
   };
   Plan call(const std::string& endpoint, Time now, const Call& call);
-  // The effect of a message; false where its key was seen within the window.
-  bool take_effect(Time now, const std::string& key);
 
   void begin(const std::string& endpoint, Time now, const FaultSettings& fault);
   void end(const std::string& endpoint, Time now, Fault fault);
@@ -116,6 +114,8 @@
     pcg32 random;
   };
   bool strikes(Endpoint& e, Fault f);
+  Plan by_state(const std::string& endpoint, Time now, const Call& call);
+  bool is_repeat(Time now, const std::string& key);  // of a call that was taken within the window
   Plan by_script(Time now, const std::string& message);
 
   DestinationSettings settings_;
@@ -123,7 +123,7 @@
   std::unique_ptr<Place> shared_;
   std::map<std::string, std::unique_ptr<Place>> apart_;
   std::map<std::string, Endpoint> endpoints_;
-  std::map<std::string, Time> keys_;
+  std::map<std::string, Time> keys_;          // when the first call with it was taken
   std::map<std::string, std::size_t> calls_;  // of each message, where `answers` are set
 };
 
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -681,7 +681,7 @@
   const auto then = [this, c, id, message, key, plan] {
     Endpoint& e = endpoints_.at(c->endpoint);
     // What was taken takes effect, whether or not its caller still waits.
-    if (plan.runs && partner(e).take_effect(clock.now(), key))
+    if (plan.runs)
       effects_.push_back({clock.now(), c->endpoint, partner(e).settings().name, message, key});
     if (plan.what == Do::lose) return drop(c);
     const auto it = c->at_endpoint.find(id);
--- a/standin/server.cpp
+++ b/standin/server.cpp
@@ -20,7 +20,7 @@
 
 void Destination::take_effect(Time now, const std::string& endpoint, const std::string& message,
                               const std::string& key) {
-  if (partner_.take_effect(now, key)) effects_({now, endpoint, settings().name, message, key});
+  effects_({now, endpoint, settings().name, message, key});
 }
 
 Endpoint::Endpoint(loop::Loop& loop, const EndpointSettings& settings, Destination& destination,
--- a/standin/server.hpp
+++ b/standin/server.hpp
@@ -87,7 +87,7 @@
   Endpoint& add(const EndpointSettings& settings);
   Place& place_of(const std::string& endpoint) { return partner_.place_of(endpoint); }
   emulator::Partner& partner() { return partner_; }
-  // The effect of a message, unless its key was seen within the window.
+  // The effect of a message takes place.
   void take_effect(Time now, const std::string& endpoint, const std::string& message, const std::string& key);
   const DestinationSettings& settings() const { return partner_.settings(); }
   std::vector<std::unique_ptr<Endpoint>>& endpoints() { return endpoints_; }
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -75,6 +75,24 @@
   }
 }
 
+// Drawn day 1000 at 300 relays: a slowed partner took a repeat within its key's time and ran it after that
+// time. A receiver knows a repeat when it arrives.
+TEST(Partner, ARepeatIsKnownWhenItArrivesHoweverLateTheFirstRuns) {
+  emulator::DestinationSettings d;
+  d.name = "d", d.key_window = 1'000'000, d.endpoints = {{.id = "e"}};
+  d.place.servers = 1, d.place.service = 5'000'000, d.place.service_cv = 0, d.place.queue = 10;
+  emulator::Partner partner(d, 1);
+  const auto call = [&](rig::Time at) {
+    return partner.call("e", at, {.message = "m", .key = "k", .message_class = {}});
+  };
+  const auto first = call(0), repeat = call(900'000);
+  EXPECT_TRUE(first.runs);
+  EXPECT_FALSE(repeat.runs);
+  EXPECT_EQ(repeat.status, 201);
+  EXPECT_GT(repeat.at, 5'000'000);
+  EXPECT_TRUE(call(1'000'000).runs);  // past the time it is no repeat any more
+}
+
 TEST(World, EqualDaysGiveEqualFiguresToTheLastAnswer) {
   auto a = run(kHarvest, 4), b = run(kHarvest, 4), c = run(kHarvest, 5);
   a.values.erase("times_faster"), b.values.erase("times_faster");
