--- a/fuzz/story_fuzz.cpp
+++ b/fuzz/story_fuzz.cpp
@@ -1,4 +1,5 @@
-// Stories as lines: any text is taken or refused with an error; what is taken can be told, and comes back as it was.
+// Stories as lines: any text is taken or refused with an error; what is taken can be told, and comes back as
+// it was.
 #include <cstdlib>
 #include <stdexcept>
 
