Core: a repeat does not leave after its key's time

Cause: found by reading: a keyed repeat decided within its key's time could wait for a connection and leave when the receiver has forgotten the key, where a class's deadline is longer than its window (rule 2). Change: the core takes such a call back at that moment if nothing of it has left, with proof for the module; one that has left stays out. No decision changed.

--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -160,7 +160,7 @@
   const Call call = it->second;
   const CallId id = it->first;
   calls_.erase(it);
-  timeouts_.erase({call.times_out, id});
+  timeouts_.erase({call.times_out, id}), leave_by_.erase({call.leave_by, id});
   const auto bundle = bundles_.find(call.bundle);
   if (bundle != bundles_.end() && --bundle->second == 0) bundles_.erase(bundle);
   tell(now, call.message, trace::Step::What::ended, [&](trace::Step& s) {
@@ -173,7 +173,10 @@
     Message& m = at->second;
     m.out.erase(id);
     m.last = ending.what;
-    if (!proves_unrun(ending.outcome)) m.history.may_have_run = true;
+    if (!proves_unrun(ending.outcome)) {
+      m.history.may_have_run = true;
+      m.ran_from = m.ran_from < 0 ? call.sent : std::min(m.ran_from, call.sent);
+    }
     m.history.out = !m.out.empty();
     if (ending.outcome == Outcome::served && !m.over) {
       m.over = true;
@@ -211,6 +214,7 @@
   if (!events_.empty()) due = last_round_ + settings_.tick;
   if (!timers_.empty()) due = std::min(due, std::max(timers_.top().first, last_round_ + settings_.tick));
   if (!timeouts_.empty()) due = std::min(due, timeouts_.begin()->first);
+  if (!leave_by_.empty()) due = std::min(due, leave_by_.begin()->first);
   return due;
 }
 
@@ -222,6 +226,14 @@
     timeouts_.erase(timeouts_.begin());
     time_out(now, id);
   }
+  // A repeat that was decided within its key's time and still waits for a connection must not leave after it
+  // (rule 2): the receiver no longer knows the key.
+  while (!leave_by_.empty() && leave_by_.begin()->first <= now) {
+    const CallId id = leave_by_.begin()->second;
+    leave_by_.erase(leave_by_.begin());
+    if (ports_.transport.take_back(id))
+      end_call(now, calls_.find(id), {Outcome::not_sent, 0, {}, "its key's time was over", {}});
+  }
   if (now < last_round_ + settings_.tick) return;
   while (!timers_.empty() && timers_.top().first <= now) {
     events_.push_back(event::TimerDue{timers_.top().second});
@@ -268,8 +280,16 @@
   messages++, bundles_[bundle]++;
   const CallId id = next_call_++;
   const Time times_out = now + std::max<Time>(0, a.timeout);
-  calls_[id] = {a.id, attempt, a.endpoint, now, times_out, bundle};
+  const auto& cls = settings_.classes[static_cast<std::size_t>(m.message->message_class)];
+  Time ran_from = m.ran_from;
+  for (const CallId other : m.out) {
+    const Time sent = calls_.at(other).sent;
+    ran_from = ran_from < 0 ? sent : std::min(ran_from, sent);
+  }
+  const Time leave_by = cls.effect == Effect::keyed && ran_from >= 0 ? ran_from + cls.key_window : 0;
+  calls_[id] = {a.id, attempt, a.endpoint, now, times_out, bundle, leave_by};
   timeouts_.insert({times_out, id});
+  if (leave_by > 0) leave_by_.insert({leave_by, id});
   m.out.insert(id);
   m.history.out = true;
   tell(now, a.id, trace::Step::What::send, [&](trace::Step& s) {
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -165,6 +165,7 @@
     std::string last;
     bool over = false;  // answered or withdrawn
     std::set<CallId> out;
+    Time ran_from = -1;  // when the first attempt that may have run was sent; -1: none
   };
   struct Call {
     MessageId message = 0;
@@ -172,6 +173,7 @@
     EndpointId endpoint;
     Time sent = 0, times_out = 0;
     std::uint64_t bundle = 0;
+    Time leave_by = 0;  // 0: at any time
   };
   struct Known {  // an endpoint that was in a list
     DestinationId destination = 0;
@@ -202,6 +204,7 @@
   std::map<std::uint64_t, int> bundles_;                              // calls left of each bundle: one slot
   std::map<EndpointId, std::pair<std::uint64_t, int>> open_bundles_;  // of this round: bundle, messages in it
   std::set<std::pair<Time, CallId>> timeouts_;
+  std::set<std::pair<Time, CallId>> leave_by_;  // repeats of keyed messages: their key's time is over then
   std::priority_queue<std::pair<Time, std::uint64_t>, std::vector<std::pair<Time, std::uint64_t>>,
                       std::greater<>>
       timers_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -86,6 +86,31 @@
   }
 };
 
+// Guards against a repeat that waits for a connection until the receiver has forgotten its key (rule 2).
+TEST(Core, ARepeatDoesNotLeaveAfterItsKeysTime) {
+  Bench b;
+  b.take(1, 2);
+  b.act({action::Send{1, "e", 3 * kS}});
+  const Time first = b.now;
+  b.core->call_ended(b.now, b.sent[0].id, {Outcome::reset, 0, {}, "lost", {}});
+  b.act({action::Send{1, "e", 3 * kS}});
+  ASSERT_EQ(b.sent.size(), 2u);
+  b.waiting = {b.sent[1].id};
+  b.core->turn(b.now = first + kS - 1);
+  EXPECT_EQ(b.waiting.size(), 1u);
+  EXPECT_EQ(b.core->next_due(), first + kS);
+  b.core->turn(b.now = first + kS);
+  EXPECT_TRUE(b.waiting.empty()) << "it may still leave";
+  EXPECT_EQ(b.core->slots_used(), 0u);
+  // One that has left by then stays out.
+  b.take(2, 2);
+  b.act({action::Send{2, "e", 3 * kS}});
+  b.core->call_ended(b.now, b.sent[2].id, {Outcome::reset, 0, {}, "lost", {}});
+  b.act({action::Send{2, "e", 3 * kS}});
+  b.core->turn(b.now += 2 * kS);
+  EXPECT_EQ(b.core->slots_used(), 1u);
+}
+
 TEST(Core, BatchesARoundsEventsAndTellsTheTimeThatIsLeft) {
   Bench b;
   b.take(1), b.take(2, 0, 60 * kS);
