--- a/adapter/codec.hpp
+++ b/adapter/codec.hpp
@@ -4,19 +4,16 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "cedarplank/dispatcher.hpp"
+#include "settings/fields.hpp"
 
 namespace cedarplank::adapter {
 
 // What is wrong with a line, and where in it.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using WireError = settings::FieldError;
 
 class Codec {
  public:
--- a/app/commands.hpp
+++ b/app/commands.hpp
@@ -10,6 +10,7 @@
 
 using Run = std::function<int()>;
 void add_relay(CLI::App& app, Run& run);
+void add_platform(CLI::App& app, Run& run);
 void add_standin(CLI::App& app, Run& run);
 void add_send(CLI::App& app, Run& run);
 void add_check(CLI::App& app, Run& run);
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -15,6 +15,7 @@
       "Exit codes: 0 ok, 1 failed, 2 bad input, 3 stopped at once by a second signal, 4 a rule was broken.");
   Run run;
   add_relay(app, run);
+  add_platform(app, run);
   add_standin(app, run);
   add_send(app, run);
   add_check(app, run);
--- a/rig/drill.cpp
+++ b/rig/drill.cpp
@@ -206,10 +206,10 @@
     r.address = own_address();
     r.smpp = r.address;  // any port of the same address
     // On an address that nobody else uses a port that is free now stays free.
-    net::Datagrams probe(loop_, net::Address::parse(r.address), [](std::string_view) {});
+    net::Datagrams probe(loop_, net::Address::parse(r.address), [](std::string_view, const net::Address&) {});
     r.notes = probe.address().text();
     r.notes_proxy = std::make_unique<net::Datagrams>(
-        loop_, net::Address::parse(r.address), [this, i](std::string_view bytes) {
+        loop_, net::Address::parse(r.address), [this, i](std::string_view bytes, const net::Address&) {
           if (std::uniform_real_distribution<double>()(random_) < notes_lost_) return;
           at(i).notes_proxy->send(net::Address::parse(at(i).notes), bytes);
         });
--- /dev/null
+++ b/src/http1/message.cpp
@@ -0,0 +1,382 @@
+#include "http1/message.hpp"
+
+#include <algorithm>
+
+namespace cedarplank::http1 {
+namespace {
+
+constexpr int kMostInterim = 16;         // 1xx ahead of one answer
+constexpr std::size_t kChunkLine = 256;  // with extensions, which are passed over
+
+// RFC 9110 section 5.6.2.
+bool token(std::string_view text) {
+  constexpr std::string_view kOther = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           kOther.find(c) != std::string_view::npos;
+  });
+}
+// RFC 9110 section 5.5: visible characters, obs-text, space and tab.
+bool field_value(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto u = static_cast<unsigned char>(c);
+    return u == '\t' || (u >= 0x20 && u != 0x7f);
+  });
+}
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+std::string lower(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(), [](char c) { return lower(c); });
+  return out;
+}
+std::string_view trimmed(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+bool digits(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+// Whether a list field holds this word (RFC 9110 section 5.6.1).
+bool lists(const Message& m, std::string_view name, std::string_view word) {
+  for (const auto& f : m.fields) {
+    if (f.name != name) continue;
+    std::string_view rest = f.value;
+    while (true) {
+      const auto comma = rest.find(',');
+      if (lower(trimmed(rest.substr(0, comma))) == word) return true;
+      if (comma == std::string_view::npos) break;
+      rest.remove_prefix(comma + 1);
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+const std::string* Message::find(std::string_view name) const {
+  const std::string* found = nullptr;
+  for (const auto& f : fields) {
+    if (f.name != name) continue;
+    if (found != nullptr) return nullptr;
+    found = &f.value;
+  }
+  return found;
+}
+bool Message::has(std::string_view name) const {
+  return std::any_of(fields.begin(), fields.end(), [&](const Field& f) { return f.name == name; });
+}
+
+bool Reader::fail(int status, const char* problem) {
+  state_ = State::broken, status_ = status, problem_ = problem;
+  return false;
+}
+
+void Reader::begin() {
+  message_ = {};
+  line_.clear();
+  head_ = 0, left_ = 0;
+  part_ = Part::start, expects_continue_ = false;
+}
+
+void Reader::next() {
+  if (state_ == State::broken) return;
+  begin();
+  state_ = State::waiting;
+  interim_ = empty_ = first_line_ = 0;
+}
+
+void Reader::finish() { state_ = State::complete; }
+
+std::size_t Reader::take(std::string_view bytes) {
+  std::size_t at = 0;
+  while (at < bytes.size() && state_ != State::complete && state_ != State::broken) {
+    const std::string_view rest = bytes.substr(at);
+    if (part_ == Part::counted || part_ == Part::chunk) {
+      const auto n = static_cast<std::size_t>(std::min<std::uint64_t>(left_, rest.size()));
+      message_.body.append(rest.substr(0, n));
+      at += n, left_ -= n;
+      if (left_ > 0) continue;
+      if (part_ == Part::counted)
+        finish();
+      else
+        part_ = Part::chunk_end;
+      continue;
+    }
+    if (part_ == Part::to_end) {
+      if (message_.body.size() + rest.size() > bounds_.body) {
+        fail(413, "a body longer than allowed");
+        break;
+      }
+      message_.body.append(rest);
+      return bytes.size();
+    }
+    if (state_ == State::waiting) state_ = State::head;
+    const auto end = rest.find('\n');
+    const auto n = end == std::string_view::npos ? rest.size() : end + 1;
+    const bool chunk_line = part_ == Part::chunk_size || part_ == Part::chunk_end;
+    head_ += chunk_line ? 0 : n;
+    if (chunk_line && line_.size() + n > kChunkLine) {
+      fail(400, "a chunk's line is too long");
+      break;
+    }
+    if (head_ > bounds_.head) {
+      fail(431, "a head longer than allowed");
+      break;
+    }
+    line_.append(rest.substr(0, n));
+    at += n;
+    if (end == std::string_view::npos) {
+      // A carriage return alone ends no line: refused as soon as it is seen (RFC 9112 section 2.2).
+      const auto cr = line_.find('\r');
+      if (cr != std::string::npos && cr + 1 < line_.size()) fail(400, "a carriage return within a line");
+      continue;
+    }
+    if (line_.size() < 2 || line_[line_.size() - 2] != '\r') {
+      fail(400, "a line that ends without a carriage return");
+      break;
+    }
+    std::string whole;
+    whole.swap(line_);
+    const std::string_view text = std::string_view(whole).substr(0, whole.size() - 2);
+    if (text.find('\r') != std::string_view::npos) {
+      fail(400, "a carriage return within a line");
+      break;
+    }
+    if (!line(text)) break;
+  }
+  return at;
+}
+
+void Reader::end() {
+  if (state_ == State::body && part_ == Part::to_end)
+    finish();
+  else if (state_ != State::waiting && state_ != State::complete && state_ != State::broken)
+    fail(400, "it ended in the middle");
+}
+
+bool Reader::line(std::string_view text) {
+  switch (part_) {
+    case Part::start:
+      // An empty line ahead of a request is passed over, one of them (RFC 9112 section 2.2).
+      if (text.empty() && side_ == Side::requests && empty_++ == 0) return state_ = State::waiting, true;
+      return start_line(text);
+    case Part::fields:
+      return text.empty() ? head_done() : field_line(text);
+    case Part::chunk_size:
+      return chunk_line(text);
+    case Part::chunk_end:
+      if (!text.empty()) return fail(400, "a chunk is longer than it says");
+      part_ = Part::chunk_size;
+      return true;
+    case Part::trailers:
+      if (!text.empty()) return true;  // not used, so not kept (RFC 9112 section 7.1.2)
+      finish();
+      return true;
+    case Part::counted:
+    case Part::to_end:
+    case Part::chunk:
+      break;
+  }
+  return true;
+}
+
+bool Reader::start_line(std::string_view text) {
+  const auto version = [&](std::string_view v) {
+    if (v.size() != 8 || v.substr(0, 5) != "HTTP/" || v[6] != '.' || !digits(v.substr(5, 1)) ||
+        !digits(v.substr(7, 1)))
+      return fail(400, "no HTTP version");
+    if (v[5] != '1') return fail(505, "a version other than HTTP/1");
+    message_.minor = v[7] - '0';
+    return true;
+  };
+  if (side_ == Side::requests) {
+    const auto one = text.find(' ');
+    const auto two = one == std::string_view::npos ? one : text.find(' ', one + 1);
+    if (two == std::string_view::npos || text.find(' ', two + 1) != std::string_view::npos)
+      return fail(400, "no request line");
+    message_.method = text.substr(0, one), message_.target = text.substr(one + 1, two - one - 1);
+    if (!token(message_.method) || message_.target.empty() ||
+        !std::all_of(message_.target.begin(), message_.target.end(),
+                     [](char c) { return c > ' ' && c < 0x7f; }))
+      return fail(400, "no request line");
+    if (!version(text.substr(two + 1))) return false;
+  } else {
+    if (text.size() < 12 || text[8] != ' ' || (text.size() > 12 && text[12] != ' ') ||
+        !digits(text.substr(9, 3)) || text[9] < '1' || !field_value(text))
+      return fail(502, "no status line");
+    if (!version(text.substr(0, 8))) return false;
+    message_.status = (text[9] - '0') * 100 + (text[10] - '0') * 10 + (text[11] - '0');
+    if (message_.status >= 200) first_line_ = message_.status;
+  }
+  part_ = Part::fields;
+  return true;
+}
+
+bool Reader::field_line(std::string_view text) {
+  if (text.front() == ' ' || text.front() == '\t') return fail(400, "a folded line");
+  const auto colon = text.find(':');
+  if (colon == std::string_view::npos || !token(text.substr(0, colon)) ||
+      !field_value(text.substr(colon + 1)))
+    return fail(400, "a field that can't be read");
+  if (message_.fields.size() >= bounds_.fields) return fail(431, "more fields than allowed");
+  message_.fields.push_back({lower(text.substr(0, colon)), std::string(trimmed(text.substr(colon + 1)))});
+  return true;
+}
+
+bool Reader::head_done() {
+  if (side_ == Side::responses && message_.status < 200) {
+    if (message_.status == 101) return fail(502, "another protocol, not asked for");
+    if (++interim_ > kMostInterim) return fail(502, "interim answers without end");
+    begin();
+    state_ = State::head;
+    return true;
+  }
+  const bool closing = lists(message_, "connection", "close");
+  message_.close = closing || (message_.minor == 0 && !lists(message_, "connection", "keep-alive"));
+  state_ = State::body;
+  return framing();
+}
+
+// How long the body is: RFC 9112 section 6.3.
+bool Reader::framing() {
+  const bool coded = message_.has("transfer-encoding"), counted = message_.has("content-length");
+  if (coded && counted) return fail(400, "both Content-Length and Transfer-Encoding");
+  if (side_ == Side::requests && message_.minor >= 1 && message_.find("host") == nullptr)
+    return fail(400, "not one Host");
+  if (side_ == Side::responses && (message_.status == 204 || message_.status == 304)) return finish(), true;
+  if (coded) {
+    const auto* coding = message_.find("transfer-encoding");
+    if (coding == nullptr || message_.minor == 0) return fail(400, "a Transfer-Encoding that can't be told");
+    if (lower(*coding) != "chunked") return fail(501, "a transfer coding other than chunked");
+    part_ = Part::chunk_size, head_ = 0;
+  } else if (counted) {
+    const auto* length = message_.find("content-length");
+    if (length == nullptr || !digits(*length)) return fail(400, "a Content-Length that is no number");
+    if (length->size() > 18 || (left_ = std::stoull(*length)) > bounds_.body)
+      return fail(413, "a body longer than allowed");
+    if (left_ == 0) return finish(), true;
+    part_ = Part::counted;
+  } else if (side_ == Side::requests) {
+    return finish(), true;
+  } else {
+    part_ = Part::to_end, message_.close = true;
+  }
+  if (side_ == Side::requests && message_.has("expect")) {
+    const auto* expect = message_.find("expect");
+    if (expect == nullptr || lower(*expect) != "100-continue")
+      return fail(417, "an expectation that is not known");
+    expects_continue_ = true;
+  }
+  return true;
+}
+
+bool Reader::chunk_line(std::string_view text) {
+  const auto hex = text.substr(0, text.find_first_of("; \t"));
+  if (hex.empty() || hex.size() > 8) return fail(400, "a chunk without a size");
+  std::uint64_t size = 0;
+  for (const char c : hex) {
+    const char l = lower(c);
+    if (!((l >= '0' && l <= '9') || (l >= 'a' && l <= 'f'))) return fail(400, "a chunk without a size");
+    size = size * 16 + static_cast<std::uint64_t>(l <= '9' ? l - '0' : l - 'a' + 10);
+  }
+  if (hex.size() < text.size() && trimmed(text.substr(hex.size())).substr(0, 1) != ";")
+    return fail(400, "a chunk's size is followed by something else");
+  if (message_.body.size() + size > bounds_.body) return fail(413, "a body longer than allowed");
+  left_ = size;
+  part_ = size == 0 ? Part::trailers : Part::chunk;
+  return true;
+}
+
+const char* reason_phrase(int status) {
+  switch (status) {
+    case 100:
+      return "Continue";
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 411:
+      return "Length Required";
+    case 413:
+      return "Content Too Large";
+    case 417:
+      return "Expectation Failed";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 501:
+      return "Not Implemented";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "";
+  }
+}
+
+namespace {
+void add(std::string& out, const std::vector<Field>& fields) {
+  for (const auto& f : fields) out += f.name, out += ": ", out += f.value, out += "\r\n";
+}
+}  // namespace
+
+std::string request(std::string_view method, std::string_view target, std::string_view host,
+                    const std::vector<Field>& fields, std::string_view body) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+  add(out, fields);
+  if (method != "GET") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  out.append("\r\n").append(body);
+  return out;
+}
+
+std::string response(int status, const std::vector<Field>& fields, std::string_view body, bool close) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " " + reason_phrase(status) + "\r\n";
+  add(out, fields);
+  if (status >= 200 && status != 204) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (close) out += "Connection: close\r\n";
+  out.append("\r\n").append(body);
+  return out;
+}
+
+bool seconds_of(std::string_view text, std::int64_t& us) {
+  constexpr std::int64_t kMost = 3'600'000'000;
+  const auto point = text.find('.');
+  const auto whole = text.substr(0, point);
+  const auto part = point == std::string_view::npos ? std::string_view() : text.substr(point + 1);
+  if (!digits(whole) || (point != std::string_view::npos && !digits(part))) return false;
+  std::int64_t value = 0;
+  for (const char c : whole) value = std::min(value * 10 + (c - '0'), kMost);
+  std::int64_t fraction = 0, unit = 100'000;
+  for (const char c : part.substr(0, 6)) fraction += (c - '0') * unit, unit /= 10;
+  us = std::min(value * 1'000'000 + fraction, kMost);
+  return true;
+}
+
+std::string seconds_text(std::int64_t us) {
+  const std::int64_t ms = us <= 0 ? 0 : (us + 999) / 1000;
+  std::string part = std::to_string(ms % 1000);
+  return std::to_string(ms / 1000) + "." + std::string(3 - part.size(), '0') + part;
+}
+
+}  // namespace cedarplank::http1
--- a/src/net/datagram.cpp
+++ b/src/net/datagram.cpp
@@ -5,7 +5,8 @@
 
 namespace cedarplank::net {
 
-Datagrams::Datagrams(loop::Loop& loop, const Address& on, std::function<void(std::string_view)> received)
+Datagrams::Datagrams(loop::Loop& loop, const Address& on,
+                     std::function<void(std::string_view, const Address&)> received)
     : loop_(loop), received_(std::move(received)) {
   fd_ = Fd(socket(on.family(), SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd_ || bind(fd_.get(), on.data(), on.size()) != 0)
@@ -13,9 +14,10 @@
   loop_.watch(fd_.get(), POLLIN, [this](short) {
     char buffer[2048];
     for (int i = 0; i < 64; i++) {
-      const auto n = recv(fd_.get(), buffer, sizeof buffer, 0);
+      Address from;
+      const auto n = from.receive(fd_.get(), buffer, sizeof buffer);
       if (n < 0) return;
-      received_({buffer, static_cast<std::size_t>(n)});
+      received_({buffer, static_cast<std::size_t>(n)}, from);
     }
   });
 }
--- a/src/net/datagram.hpp
+++ b/src/net/datagram.hpp
@@ -10,8 +10,9 @@
 
 class Datagrams {
  public:
-  // Throws std::system_error naming the address.
-  Datagrams(loop::Loop& loop, const Address& on, std::function<void(std::string_view)> received);
+  // Throws std::system_error naming the address. `from` is the sender's address.
+  Datagrams(loop::Loop& loop, const Address& on,
+            std::function<void(std::string_view, const Address& from)> received);
   ~Datagrams();
   Address address() const { return Address::of_socket(fd_.get()); }
   void send(const Address& to, std::string_view bytes);  // lost where the kernel has no room
@@ -19,7 +20,7 @@
  private:
   loop::Loop& loop_;
   Fd fd_;
-  std::function<void(std::string_view)> received_;
+  std::function<void(std::string_view, const Address& from)> received_;
 };
 
 }  // namespace cedarplank::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -70,6 +70,11 @@
   return a;
 }
 
+ssize_t Address::receive(int fd, char* buffer, std::size_t size) {
+  size_ = sizeof storage_;
+  return recvfrom(fd, buffer, size, 0, reinterpret_cast<sockaddr*>(&storage_), &size_);
+}
+
 std::string Address::text() const {
   char buffer[INET6_ADDRSTRLEN] = {};
   if (family() == AF_INET6) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -46,6 +46,8 @@
   static Address parse(const std::string& text);
   static Address of_socket(int fd);
   static Address of_peer(int fd);  // of the other end; empty where it has gone
+  // One datagram into `buffer`, and where it came from into this; as recvfrom(2).
+  ssize_t receive(int fd, char* buffer, std::size_t size);
   const sockaddr* data() const { return reinterpret_cast<const sockaddr*>(&storage_); }
   socklen_t size() const { return size_; }
   int family() const { return storage_.ss_family; }
@@ -91,6 +93,7 @@
   void pause_reading(bool paused) override;
   void finish(Time linger) override;
   void close(bool abort = false) override;
+  int descriptor() const { return fd_.get(); }
 
   // For tests: at most so many bytes a read or write (0: no limit).
   static void limit_io(std::size_t most);
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -1,11 +1,10 @@
 #include "node/journal.hpp"
 
-#include <time.h>
-
 #include <algorithm>
-#include <fstream>
 #include <stdexcept>
 
+#include "node/clock.hpp"
+
 namespace cedarplank::node {
 namespace {
 
@@ -26,16 +25,6 @@
 
 }  // namespace
 
-journal::Clock clock_now() {
-  journal::Clock c;
-  timespec t{};
-  clock_gettime(CLOCK_REALTIME, &t);
-  c.wall = std::int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1'000;
-  c.monotonic = loop::monotonic_now();
-  std::ifstream("/proc/sys/kernel/random/boot_id") >> c.boot;
-  return c;
-}
-
 Journal::Journal(loop::Loop& loop, const config::RelaySettings& settings, Log log)
     : loop_(loop), settings_(settings), log_(std::move(log)) {
   const auto& j = *settings.journal;
--- a/src/node/journal.hpp
+++ b/src/node/journal.hpp
@@ -67,8 +67,6 @@
   loop::TimerId tidy_timer_ = 0;
 };
 
-journal::Clock clock_now();
-
 // The journal as a front asks it.
 class JournalBook final : public relay::Book {
  public:
--- a/src/node/peer_notes.cpp
+++ b/src/node/peer_notes.cpp
@@ -14,7 +14,7 @@
     if (p.rank != rank_) peers_.emplace(p.rank, net::Address::parse(p.address));
   datagrams_ = std::make_unique<net::Datagrams>(
       loop, net::Address::parse(settings.notes_listen),
-      [this, received = std::move(received)](std::string_view bytes) {
+      [this, received = std::move(received)](std::string_view bytes, const net::Address&) {
         if (bytes.size() < 8 || bytes.size() > 8 + kMostBody || bytes.substr(0, 4) != kMark) return;
         const auto from = static_cast<int>(http2::read_u32(bytes, 4));
         if (peers_.count(from) == 0) return;  // nobody that the settings name
--- /dev/null
+++ b/src/platform/clients.cpp
@@ -0,0 +1,169 @@
+#include "platform/clients.hpp"
+
+#include <algorithm>
+
+namespace cedarplank::platform {
+namespace {
+
+constexpr Time kFirstWithin = 2'300'000;    // from connecting to a first whole request: 3 s are promised
+constexpr Time kRequestWithin = 2'300'000;  // from a later request's first byte to its last
+constexpr Time kIdleLong = 60'000'000;
+constexpr Time kLeaveWithin =
+    200'000;  // for the client to read a last answer, what it sends being left unread
+constexpr Time kSweepEvery = 100'000;
+constexpr std::size_t kMostAhead = 128 * 1024;  // bytes read behind an open request
+
+}  // namespace
+
+Clients::Clients(loop::Loop& loop, const net::Address& listen, std::size_t most, Host host)
+    : loop_(loop), most_(std::max<std::size_t>(most, 1)), host_(std::move(host)) {
+  listener_ = std::make_unique<net::Listener>(
+      loop_, listen, [this](net::Fd fd) { accepted(std::move(fd)); }, 1024);
+  timer_ = loop_.after(kSweepEvery, [this] { sweep(); });
+}
+
+Clients::~Clients() {
+  loop_.cancel(timer_);
+  for (const auto& [n, c] : all_) c->stream->close();
+}
+
+void Clients::accepted(net::Fd fd) {
+  counts_.accepted++;
+  if (!make_room()) return;  // closed at once
+  auto c = std::make_shared<Client>();
+  c->number = next_++, c->since = loop_.now();
+  const std::weak_ptr<Client> weak = c;
+  c->stream =
+      std::make_unique<net::TcpStream>(loop_, std::move(fd),
+                                       net::Stream::Handlers{.connected = {},
+                                                             .data =
+                                                                 [this, weak](std::string_view bytes) {
+                                                                   if (const auto l = weak.lock())
+                                                                     data(l, bytes);
+                                                                 },
+                                                             .drained = {},
+                                                             .closed =
+                                                                 [this, weak](const std::string&) {
+                                                                   const auto l = weak.lock();
+                                                                   if (!l) return;
+                                                                   const bool open = l->open;
+                                                                   drop(l);
+                                                                   if (open) host_.gone(l->number);
+                                                                 }});
+  all_[c->number] = c;
+}
+
+// The longest silent one gives way: first among those that have never asked, then among all without an open
+// request. Those are the ones that a client may have closed on it.
+bool Clients::make_room() {
+  if (all_.size() < most_) return true;
+  ClientPtr victim;
+  for (const auto& [n, c] : all_) {
+    if (c->open) continue;
+    if (!victim || std::pair(c->asked, c->since) < std::pair(victim->asked, victim->since)) victim = c;
+  }
+  if (!victim) return false;
+  counts_.evicted++;
+  drop(victim);
+  return true;
+}
+
+void Clients::data(const ClientPtr& c, std::string_view bytes) {
+  if (c->leaving) return;
+  if (c->open) {
+    c->ahead.append(bytes);
+    if (c->ahead.size() > kMostAhead) c->stream->pause_reading(true);
+    return;
+  }
+  read(c, bytes);
+}
+
+void Clients::read(const ClientPtr& c, std::string_view bytes) {
+  using State = http1::Reader::State;
+  if (c->reader.state() == State::waiting && c->asked) c->since = loop_.now();
+  const auto taken = c->reader.take(bytes);
+  if (c->reader.state() == State::broken) return turn_away(c, c->reader.status(), c->reader.problem());
+  if (c->reader.expects_continue() && !c->continued) {
+    c->continued = true;
+    c->stream->write(http1::response(100, {}, {}, false));
+  }
+  if (c->reader.state() != State::complete) return;
+  c->ahead.assign(bytes.substr(taken));
+  c->open = c->asked = true, c->continued = false;
+  counts_.requests++;
+  host_.request(c->number, c->reader.message());
+}
+
+void Clients::answer(Number number, int status, const std::vector<http1::Field>& fields,
+                     const std::string& text, bool close) {
+  const auto it = all_.find(number);
+  if (it == all_.end() || !it->second->open) return;
+  const ClientPtr c = it->second;
+  const bool last = close || draining_ || c->reader.message().close;
+  c->stream->write(http1::response(status, fields, text, last));
+  c->open = false, c->since = loop_.now();
+  if (last) return leave(c, kLeaveWithin);
+  c->reader.next();
+  if (c->ahead.empty()) return;
+  // What came meanwhile: in a call of its own, so that many at once on one connection don't nest.
+  loop_.defer([this, weak = std::weak_ptr(c)] {
+    const auto l = weak.lock();
+    if (!l || l->open || l->leaving) return;
+    std::string ahead;
+    ahead.swap(l->ahead);
+    l->stream->pause_reading(false);
+    read(l, ahead);
+  });
+}
+
+void Clients::turn_away(const ClientPtr& c, int status, const char* why) {
+  counts_.unread++;
+  c->stream->write(http1::response(status, {}, std::string(why) + "\n", true));
+  leave(c, kLeaveWithin);
+}
+
+// What a client goes on sending is not read: it may be tens of megabytes. It gets the time to read its
+// answer.
+void Clients::leave(const ClientPtr& c, Time linger) {
+  c->leaving = true;
+  c->stream->pause_reading(true);
+  c->ahead.clear();
+  loop_.after(linger, [this, weak = std::weak_ptr(c)] {
+    if (const auto l = weak.lock()) drop(l);
+  });
+}
+
+void Clients::drop(const ClientPtr& c) {
+  loop_.defer([c] {});  // it may be what tells us that is running now
+  c->stream->close();
+  all_.erase(c->number);
+}
+
+void Clients::drain() {
+  draining_ = true;
+  std::vector<ClientPtr> idle;
+  for (const auto& [n, c] : all_)
+    if (!c->open && !c->leaving && c->reader.state() == http1::Reader::State::waiting) idle.push_back(c);
+  for (const auto& c : idle) drop(c);
+}
+
+void Clients::sweep() {
+  const Time now = loop_.now();
+  std::vector<ClientPtr> late;
+  for (const auto& [n, c] : all_) {
+    if (c->open || c->leaving) continue;
+    const bool within = c->reader.state() != http1::Reader::State::waiting;
+    const Time most = !c->asked ? kFirstWithin : within ? kRequestWithin : kIdleLong;
+    if (now - c->since > most) late.push_back(c);
+  }
+  for (const auto& c : late) {
+    counts_.timed_out++;
+    if (c->reader.state() == http1::Reader::State::waiting)
+      drop(c);
+    else
+      turn_away(c, 408, "the request did not come to its end in time");
+  }
+  timer_ = loop_.after(kSweepEvery, [this] { sweep(); });
+}
+
+}  // namespace cedarplank::platform
--- /dev/null
+++ b/src/platform/clients.hpp
@@ -0,0 +1,77 @@
+// The way in: clients' connections and requests, one request at a time a connection. Bounded in connections,
+// in time and in bytes, so that clients that flood, stall or say nothing cost the others nothing.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http1/message.hpp"
+#include "loop/loop.hpp"
+#include "net/socket.hpp"
+
+namespace cedarplank::platform {
+
+using loop::Time;
+
+class Clients {
+ public:
+  using Number = std::uint64_t;  // of a connection; never used again
+  struct Host {
+    // A whole request. To be answered by answer(), now or later.
+    std::function<void(Number, http1::Message&)> request;
+    // The client has gone, its request unanswered.
+    std::function<void(Number)> gone;
+  };
+  struct Counts {
+    std::uint64_t accepted = 0, requests = 0, unread = 0, evicted = 0, timed_out = 0;
+  };
+  // `most`: connections at once. Throws std::system_error naming the address.
+  Clients(loop::Loop& loop, const net::Address& listen, std::size_t most, Host host);
+  ~Clients();
+
+  // Without effect where the connection is gone. `close`: it carries nothing more.
+  void answer(Number number, int status, const std::vector<http1::Field>& fields, const std::string& text,
+              bool close = false);
+  // From now on each answer is the last of its connection, and idle ones are closed.
+  void drain();
+  std::size_t connections() const { return all_.size(); }
+  const Counts& counts() const { return counts_; }
+  net::Address address() const { return listener_->address(); }
+
+ private:
+  struct Client {
+    Number number = 0;
+    std::unique_ptr<net::TcpStream> stream;
+    http1::Reader reader{http1::Reader::Side::requests};
+    std::string ahead;   // bytes behind the request that is open
+    bool open = false;   // a request waits for its answer
+    bool asked = false;  // has had a whole request
+    bool leaving = false;
+    bool continued = false;  // "100 Continue" was said
+    Time since = 0;          // connected, last answered, or the first byte of the request that is coming
+  };
+  using ClientPtr = std::shared_ptr<Client>;
+  void accepted(net::Fd fd);
+  bool make_room();
+  void data(const ClientPtr& c, std::string_view bytes);
+  void read(const ClientPtr& c, std::string_view bytes);
+  void turn_away(const ClientPtr& c, int status, const char* why);
+  void leave(const ClientPtr& c, Time linger);
+  void drop(const ClientPtr& c);
+  void sweep();
+
+  loop::Loop& loop_;
+  const std::size_t most_;
+  Host host_;
+  std::unique_ptr<net::Listener> listener_;
+  std::map<Number, ClientPtr> all_;  // oldest first
+  Number next_ = 1;
+  bool draining_ = false;
+  loop::TimerId timer_ = 0;
+  Counts counts_;
+};
+
+}  // namespace cedarplank::platform
--- /dev/null
+++ b/src/platform/endpoints.cpp
@@ -0,0 +1,308 @@
+#include "platform/endpoints.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "platform/semantics.hpp"
+
+namespace cedarplank::platform {
+namespace {
+
+constexpr Time kIdleMargin = 250'000;  // before the other side's idle time: its close must not cross a call
+constexpr Time kSweepEvery = 50'000;
+constexpr Time kHeadGrace = 100'000;    // from a first line that says 200 to the end of its head
+constexpr Time kRestGrace = 1'000'000;  // from an outcome to the end of its answer
+
+}  // namespace
+
+Endpoints::Endpoints(loop::Loop& loop, Bounds bounds, Host host)
+    : loop_(loop), bounds_(bounds), host_(std::move(host)) {
+  sweep_timer_ = loop_.after(kSweepEvery, [this] { sweep(); });
+}
+
+Endpoints::~Endpoints() {
+  loop_.cancel(sweep_timer_);
+  for (const auto& [n, link] : links_) loop_.cancel(link->timer), link->stream->close();
+}
+
+void Endpoints::learn(const Catalogue& catalogue) {
+  auto before = std::move(addresses_);
+  addresses_.clear();
+  if (!catalogue.whole) addresses_ = before;
+  for (const auto& l : catalogue.endpoints) {
+    if (l.endpoint.listing == Listing::gone)
+      addresses_.erase(l.endpoint.id);
+    else
+      addresses_[l.endpoint.id] = l.address;
+  }
+  for (const auto& [id, address] : before) {
+    const auto it = addresses_.find(id);
+    if (it == addresses_.end() || it->second != address) close_idle(id);
+  }
+}
+
+void Endpoints::send(const relay::CallOrder& call) { ordered_.push_back(call); }
+
+void Endpoints::flush() {
+  std::vector<relay::CallOrder> ordered;
+  ordered.swap(ordered_);
+  std::map<std::uint64_t, std::size_t> places;
+  std::vector<std::vector<relay::CallOrder>> bundles;
+  for (auto& call : ordered) {
+    const auto [it, fresh] = places.emplace(call.bundle, bundles.size());
+    if (fresh) bundles.emplace_back();
+    bundles[it->second].push_back(std::move(call));
+  }
+  for (auto& bundle : bundles) start(std::move(bundle));
+}
+
+void Endpoints::start(std::vector<relay::CallOrder> bundle) {
+  const EndpointId endpoint = bundle.front().endpoint;
+  const auto at = addresses_.find(endpoint);
+  LinkPtr link;
+  if (at != addresses_.end()) {
+    link = idle_link(endpoint, at->second);
+    if (!link && make_room()) link = open(endpoint, at->second);
+  }
+  counts_.calls++;
+  if (!link) {
+    const char* why = at == addresses_.end() ? "its endpoint has left the list" : "no descriptor is left";
+    // Not from within the core's own round.
+    loop_.defer([this, bundle = std::move(bundle), why] {
+      for (const auto& call : bundle) host_.ended(call.id, {Outcome::not_sent, 0, {}, why, {}});
+    });
+    return;
+  }
+  Time budget = 0;
+  std::vector<Called> called;
+  for (const auto& call : bundle) {
+    budget = std::max(budget, call.timeout);
+    called.push_back({call.message->owner, call.message->idempotency_key, call.message->body});
+    calls_[call.id] = link;
+  }
+  link->members = std::move(bundle), link->size = called.size(), link->told = false;
+  link->first = link->stream->queued();
+  link->stream->write(called.size() == 1 ? single_call(called.front(), budget, link->address)
+                                         : bulk_call(called, budget, link->address));
+  link->last = link->stream->queued();
+}
+
+// The one used last: the others come to their idle time sooner.
+Endpoints::LinkPtr Endpoints::idle_link(const EndpointId& endpoint, const std::string& address) {
+  const auto it = idle_.find(endpoint);
+  while (it != idle_.end() && !it->second.empty()) {
+    const LinkPtr link = it->second.back();
+    it->second.pop_back();
+    // Guards against a connection closed or answered on since the loop last looked: a call written to it
+    // would end in doubt, or take another's answer for its own.
+    char byte = 0;
+    const int fd = link->stream->descriptor();
+    const bool quiet =
+        recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    const bool old = loop_.now() - link->idle_from > bounds_.idle - kIdleMargin;
+    if (quiet && !old && link->address == address) return counts_.reused++, link;
+    counts_.stale++;
+    drop(link);
+  }
+  return nullptr;
+}
+
+// Descriptors are bounded: an idle connection to another endpoint gives way, the longest idle first.
+bool Endpoints::make_room() {
+  if (links_.size() < bounds_.connections) return true;
+  LinkPtr oldest;
+  for (const auto& [id, links] : idle_)
+    if (!links.empty() && (!oldest || links.front()->idle_from < oldest->idle_from)) oldest = links.front();
+  if (!oldest) return counts_.full++, false;
+  drop(oldest);
+  return true;
+}
+
+Endpoints::LinkPtr Endpoints::open(const EndpointId& endpoint, const std::string& address) {
+  auto link = std::make_shared<Link>();
+  link->number = next_link_++, link->endpoint = endpoint, link->address = address;
+  const std::weak_ptr<Link> weak = link;
+  link->stream =
+      std::make_unique<net::TcpStream>(loop_, net::Address::parse(address), bounds_.connect_timeout,
+                                       net::Stream::Handlers{.connected =
+                                                                 [weak] {
+                                                                   if (const auto l = weak.lock())
+                                                                     l->up = true;
+                                                                 },
+                                                             .data =
+                                                                 [this, weak](std::string_view bytes) {
+                                                                   if (const auto l = weak.lock())
+                                                                     data(l, bytes);
+                                                                 },
+                                                             .drained = {},
+                                                             .closed =
+                                                                 [this, weak](const std::string& why) {
+                                                                   if (const auto l = weak.lock())
+                                                                     closed(l, why);
+                                                                 }});
+  links_[link->number] = link;
+  counts_.opened++;
+  return link;
+}
+
+bool Endpoints::nothing_left(const Link& link) const { return link.stream->flushed() <= link.first; }
+
+void Endpoints::data(const LinkPtr& link, std::string_view bytes) {
+  // Nothing was asked: noise, or a second copy of the last answer. Whatever comes next can't be told apart.
+  if (link->size == 0) return drop(link);
+  auto& reader = link->reader;
+  const auto taken = reader.take(bytes);
+  using State = http1::Reader::State;
+  const bool single = link->size == 1;
+  const bool head = reader.state() == State::body || reader.state() == State::complete;
+  if (reader.state() == State::broken) {
+    counts_.spoilt++;
+    return spoilt(link);
+  }
+  if (single && !link->told) {
+    // One message: its first line tells, once its head is whole; a 200 is true whatever follows.
+    if (head && (reader.first_line() == 200 || reader.state() == State::complete)) {
+      link->told = true;
+      tell(link, {ending_of(reader.message())});
+    } else if (reader.first_line() == 200 && link->timer == 0) {
+      link->timer = loop_.after(kHeadGrace, [this, link] { link->timer = 0, spoilt(link); });
+    }
+  }
+  if (reader.state() == State::complete) {
+    if (!link->told)
+      tell(link, endings_of(reader.message(), true, [&] {
+             std::vector<std::string> ids;
+             for (const auto& m : link->members) ids.push_back(m.message->owner);
+             return ids;
+           }()));
+    return rest(link, taken == bytes.size() && !reader.message().close);
+  }
+  if (link->told && link->timer == 0)
+    link->timer = loop_.after(kRestGrace, [this, link] { link->timer = 0, drop(link); });
+}
+
+// The answer came to no good end: nothing more is read on this connection.
+void Endpoints::spoilt(const LinkPtr& link) {
+  if (!link->told) {
+    relay::Ending ending{Outcome::error, 0, {}, std::string("spoilt answer: ") + link->reader.problem(), {}};
+    if (link->size == 1 && link->reader.first_line() == 200) ending = {Outcome::served, 0, {}, "200", {}};
+    tell_all(link, ending);
+  }
+  drop(link);
+}
+
+void Endpoints::closed(const LinkPtr& link, const std::string& why) {
+  link->reader.end();
+  const auto state = link->reader.state();
+  if (link->size > 0 && !link->told) {
+    if (link->stream->flushed() < link->last || !link->up) {
+      // The last byte never left: it has not run.
+      tell_all(link, {Outcome::connect_failed, 0, {}, why, {}});
+    } else if (link->size == 1 && link->reader.first_line() == 200) {
+      tell_all(link, {Outcome::served, 0, {}, "200", {}});
+    } else if (state == http1::Reader::State::complete) {
+      std::vector<std::string> ids;
+      for (const auto& m : link->members) ids.push_back(m.message->owner);
+      tell(link, link->size == 1 ? std::vector{ending_of(link->reader.message())}
+                                 : endings_of(link->reader.message(), true, ids));
+    } else {
+      tell_all(link, {Outcome::reset, 0, {}, why, {}});
+    }
+  }
+  drop(link);
+}
+
+// After its call: idle, or of no further use.
+void Endpoints::rest(const LinkPtr& link, bool reusable) {
+  loop_.cancel(link->timer), link->timer = 0;
+  if (!reusable || addresses_.count(link->endpoint) == 0) return drop(link);
+  link->reader.next();
+  link->size = 0, link->told = false, link->members.clear();
+  link->idle_from = loop_.now();
+  idle_[link->endpoint].push_back(link);
+}
+
+void Endpoints::tell(const LinkPtr& link, const std::vector<relay::Ending>& endings) {
+  link->told = true;
+  auto members = std::move(link->members);
+  link->members.clear();
+  for (const auto& m : members) calls_.erase(m.id);
+  for (std::size_t i = 0; i < members.size(); i++) host_.ended(members[i].id, endings[i]);
+}
+
+void Endpoints::tell_all(const LinkPtr& link, const relay::Ending& ending) {
+  tell(link, std::vector(link->members.size(), ending));
+}
+
+void Endpoints::drop(const LinkPtr& link) {
+  loop_.cancel(link->timer), link->timer = 0;
+  // It may be what tells us that is running now.
+  loop_.defer([link] {});
+  link->stream->close();
+  links_.erase(link->number);
+  const auto it = idle_.find(link->endpoint);
+  if (it == idle_.end()) return;
+  std::erase(it->second, link);
+  if (it->second.empty()) idle_.erase(it);
+}
+
+relay::Transport::Recalled Endpoints::cancel(relay::CallId call) {
+  const auto waiting =
+      std::find_if(ordered_.begin(), ordered_.end(), [&](const auto& o) { return o.id == call; });
+  if (waiting != ordered_.end()) {
+    ordered_.erase(waiting);
+    return Recalled::waiting;
+  }
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) return Recalled::sent;
+  const LinkPtr link = it->second;
+  calls_.erase(it);
+  std::erase_if(link->members, [&](const auto& m) { return m.id == call; });
+  // The others of its call go on, and with them its bytes.
+  if (!link->members.empty()) return Recalled::sent;
+  const bool whole = link->stream->flushed() >= link->last && link->up, up = link->up;
+  drop(link);
+  return whole ? Recalled::sent : up ? Recalled::waiting : Recalled::connecting;
+}
+
+bool Endpoints::take_back(relay::CallId call) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) return cancel(call) == Recalled::waiting;
+  const LinkPtr link = it->second;
+  if (link->members.size() != 1 || link->size != 1 || !nothing_left(*link)) return false;
+  cancel(call);
+  return true;
+}
+
+std::vector<relay::CallId> Endpoints::recall(const EndpointId& endpoint) {
+  std::vector<relay::CallId> back;
+  std::erase_if(ordered_,
+                [&](const auto& o) { return o.endpoint == endpoint && (back.push_back(o.id), true); });
+  std::vector<LinkPtr> links;
+  for (const auto& [number, link] : links_)
+    if (link->endpoint == endpoint && link->size > 0 && nothing_left(*link)) links.push_back(link);
+  for (const auto& link : links) {
+    for (const auto& m : link->members) back.push_back(m.id), calls_.erase(m.id);
+    drop(link);
+  }
+  return back;
+}
+
+void Endpoints::close_idle(const EndpointId& endpoint) {
+  const auto it = idle_.find(endpoint);
+  if (it == idle_.end()) return;
+  const auto links = it->second;
+  for (const auto& link : links) drop(link);
+}
+
+void Endpoints::sweep() {
+  std::vector<LinkPtr> old;
+  for (const auto& [id, links] : idle_)
+    for (const auto& link : links)
+      if (loop_.now() - link->idle_from > bounds_.idle - kIdleMargin) old.push_back(link);
+  for (const auto& link : old) drop(link);
+  sweep_timer_ = loop_.after(kSweepEvery, [this] { sweep(); });
+}
+
+}  // namespace cedarplank::platform
--- /dev/null
+++ b/src/platform/outcomes.cpp
@@ -0,0 +1,67 @@
+#include "platform/outcomes.hpp"
+
+#include <algorithm>
+
+namespace cedarplank::platform {
+namespace {
+constexpr std::size_t kMostBytes = 48 * 1024;  // of one post; a body holds 64 KiB at most
+constexpr Time kAnswerWithin = 1'000'000, kAgain = 50'000;
+}  // namespace
+
+Outcomes::Outcomes(loop::Loop& loop, const std::string& address, Host host)
+    : loop_(loop), host_(std::move(host)), exchange_(loop, address, {}) {}
+
+Outcomes::~Outcomes() { loop_.cancel(timer_); }
+
+void Outcomes::add(MessageId id, std::string line) {
+  waiting_.push_back({id, std::move(line)});
+  if (timer_ == 0 && !exchange_.busy()) later(0);  // with the others of this turn
+}
+
+void Outcomes::later(Time after) {
+  loop_.cancel(timer_);
+  timer_ = loop_.after(after, [this] {
+    timer_ = 0;
+    post();
+  });
+}
+
+void Outcomes::move_to(const std::string& address) {
+  exchange_.move_to(address);
+  out_ = 0;
+  if (!waiting_.empty()) later(0);
+}
+
+void Outcomes::post() {
+  if (exchange_.busy() || waiting_.empty()) return;
+  std::string body;
+  out_ = 0;
+  while (out_ < waiting_.size() && body.size() + waiting_[out_].line.size() <= kMostBytes) {
+    body += waiting_[out_++].line;
+    if (one_by_one_) break;
+  }
+  exchange_.ask("POST", "/v1/outcomes", body, kAnswerWithin,
+                [this](const http1::Message* a, const std::string& why) { answered(a, why); });
+}
+
+void Outcomes::answered(const http1::Message* answer, const std::string& why) {
+  const std::size_t n = std::min(out_, waiting_.size());
+  out_ = 0;
+  const bool accepted = answer != nullptr && answer->status / 100 == 2;
+  const bool unread = answer != nullptr && answer->status == 400;
+  if (!accepted) host_.log(answer == nullptr ? why : "answered " + std::to_string(answer->status));
+  if (accepted || (unread && n == 1)) {
+    // One that is not understood alone never will be: it must not hold up the others.
+    for (std::size_t i = 0; i < n; i++) {
+      const MessageId id = waiting_.front().id;
+      waiting_.pop_front();
+      host_.accepted(id);
+    }
+    one_by_one_ = one_by_one_ && !waiting_.empty();
+  } else if (unread) {
+    one_by_one_ = true;
+  }
+  if (!waiting_.empty()) later(accepted || unread ? 0 : kAgain);
+}
+
+}  // namespace cedarplank::platform
--- /dev/null
+++ b/src/platform/relay.cpp
@@ -0,0 +1,351 @@
+#include "platform/relay.hpp"
+
+#include <time.h>
+
+#include <algorithm>
+
+#include "node/clock.hpp"
+#include "platform/semantics.hpp"
+
+namespace cedarplank::platform {
+namespace {
+
+// From SIGTERM; a kill comes no sooner than after 3.7 s.
+constexpr Time kLastRound = 2'600'000;  // no send after it: its outcome would hardly be heard
+constexpr Time kStopWithin = 3'400'000;
+constexpr std::size_t kReserved = 24;  // descriptors: standard ones, pipe, listeners, discovery, journal
+constexpr std::size_t kMostDestinations = 65'536;
+
+// Descriptors are shared out: the platform's clients hold a third at most; a third is for endpoints, and what
+// is left for clients that behave otherwise.
+std::size_t endpoint_share(const Limits& limits) { return std::max<std::size_t>(limits.sockets / 3, 8); }
+std::size_t client_share(const Limits& limits) {
+  const std::size_t taken = endpoint_share(limits) + kReserved;
+  return limits.sockets > taken + 8 ? limits.sockets - taken : 8;
+}
+
+std::vector<std::string> in_order(const settings::Names& names) {
+  std::vector<std::string> out(names.size());
+  for (const auto& [name, place] : names) out[static_cast<std::size_t>(place)] = name;
+  return out;
+}
+
+}  // namespace
+
+Relay::Relay(loop::Loop& loop, Config config, LogSink log)
+    : loop_(loop), config_(std::move(config)), log_(std::move(log)) {
+  const auto& set = config_.settings;
+  endpoints_ = std::make_unique<Endpoints>(
+      loop_, Endpoints::Bounds{endpoint_share(config_.limits), set.connect_timeout, set.connection_idle},
+      Endpoints::Host{.ended =
+                          [this](relay::CallId call, relay::Ending ending) {
+                            core_->call_ended(loop_.refresh(), call, std::move(ending));
+                            poke();
+                          },
+                      .log = [this](const std::string& text) { log_("endpoints", text); }});
+  outcomes_ = std::make_unique<Outcomes>(
+      loop_, config_.discovery,
+      Outcomes::Host{.accepted =
+                         [this](MessageId id) {
+                           journal_->keeper().handed_over(id);
+                           poke();
+                         },
+                     .log = [this](const std::string& text) { log_("outcomes", text); }});
+  discovery_ = std::make_unique<Discovery>(
+      loop_, config_.discovery, config_.names,
+      Discovery::Host{.list = [this](const Catalogue& c) { list(c, false); },
+                      .failed =
+                          [this] {
+                            core_->list_failed();
+                            poke();
+                          },
+                      .log = [this](const std::string& text) { log_("discovery", text); },
+                      .unix_to_module = [this] { return unix_to_module(); }});
+  peers_ = std::make_unique<Peers>(loop_, config_, [this](int from, std::string body) {
+    core_->note(from, std::move(body));
+    poke();
+  });
+  Journal::Settings j;
+  j.folder = config_.state, j.disk = config_.limits.disk;
+  j.keeper.classes = set.classes;
+  j.keeper.class_names = in_order(config_.names.classes),
+  j.keeper.tenant_names = in_order(config_.names.tenants);
+  journal_ =
+      std::make_unique<Journal>(loop_, std::move(j),
+                                Journal::Ends{*endpoints_, *this,
+                                              [this](relay::CallId call, relay::Ending ending) {
+                                                core_->call_ended(loop_.refresh(), call, std::move(ending));
+                                                poke();
+                                              }},
+                                [this](const std::string& text) { log_("journal", text); });
+  auto& keeper = journal_->keeper();
+  core_ = std::make_unique<relay::Core>(
+      set, relay::make_dispatcher(set, config_.seed),
+      relay::Core::Ports{keeper, keeper, *discovery_, *peers_, *this, nullptr, &keeper});
+  if (config_.known) {
+    discovery_->start_from(config_.known->index);
+    list(*config_.known, true);
+  } else {
+    // Nothing is known: an empty list as it was last seen, so that the module asks.
+    core_->list_whole({}, true);
+  }
+  recover();
+  clients_ = std::make_unique<Clients>(
+      loop_, net::Address::parse(config_.listen), client_share(config_.limits),
+      Clients::Host{.request = [this](Clients::Number n, http1::Message& r) { request(n, r); },
+                    .gone = [this](Clients::Number n) { gone(n); }});
+  turn();
+}
+
+Relay::~Relay() {
+  loop_.cancel(timer_);
+  for (const auto t : stop_timers_) loop_.cancel(t);
+}
+
+Time Relay::unix_to_module() const {
+  const auto clock = [](clockid_t which) {
+    timespec t{};
+    clock_gettime(which, &t);
+    return std::int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1'000;
+  };
+  return clock(CLOCK_MONOTONIC) - clock(CLOCK_REALTIME);
+}
+
+void Relay::recover() {
+  auto& keeper = journal_->keeper();
+  const Time now = loop_.refresh();
+  const auto clock = node::clock_now();
+  keeper.begin(journal::begin(keeper.image(), clock), now);
+  const auto place = [](const settings::Names& names, const std::string& name) {
+    const int at = settings::position(names, name);
+    return at < 0 ? std::nullopt : std::optional(at);
+  };
+  auto found = journal::recover(
+      keeper.image(), now,
+      {.destination = [](const std::string& name) { return static_cast<DestinationId>(std::stoll(name)); },
+       .message_class = [&](const std::string& name) { return place(config_.names.classes, name); },
+       .tenant = [&](const std::string& name) { return place(config_.names.tenants, name); }});
+  next_id_ = keeper.image().next_id();
+  for (auto& k : found.known) core_->known(k);
+  for (const auto& m : found.messages) {
+    held_[m.id] = {m.message->owner, 0};
+    names_[m.message->owner] = m.id;
+    core_->restore(now, m.id, m.message, m.deadline, m.before);
+  }
+  // Ends that may not have been told: told again, which does no harm.
+  std::vector<journal::record::Answered> ended;
+  for (const auto& [id, answer] : keeper.image().answers()) ended.push_back(answer.is);
+  for (const auto& a : ended) {
+    if (a.verdict == journal::record::Verdict::served || a.owner.empty())
+      keeper.handed_over(a.id);
+    else
+      outcomes_->add(a.id, a.verdict == journal::record::Verdict::refused
+                               ? returned_notice(a.owner, a.come_back)
+                               : failed_notice(a.owner));
+  }
+  for (const auto id : found.classless) {
+    const auto it = keeper.image().held().find(id);
+    if (it != keeper.image().held().end()) outcomes_->add(id, failed_notice(it->second.now.message->owner));
+    keeper.end_classless(id);
+  }
+  if (!found.messages.empty() || !ended.empty())
+    log_("recovered", std::to_string(found.messages.size()) + " messages held, " +
+                          std::to_string(ended.size()) + " ends to be told, " +
+                          std::to_string(found.known.size()) + " endpoints known");
+}
+
+void Relay::list(const Catalogue& catalogue, bool cached) {
+  endpoints_->learn(catalogue);
+  std::vector<Endpoint> list;
+  for (const auto& l : catalogue.endpoints) {
+    if (destinations_.size() < kMostDestinations) destinations_.insert(l.endpoint.destination);
+    list.push_back(l.endpoint);
+  }
+  listed_ = listed_ || !destinations_.empty();
+  if (catalogue.whole)
+    core_->list_whole(std::move(list), cached);
+  else
+    core_->list_changes(std::move(list));
+  poke();
+}
+
+// ---- clients ----
+
+void Relay::request(Clients::Number client, http1::Message& request) {
+  const auto answer = [&](int status, const char* why) {
+    clients_->answer(client, status, {}, std::string(why) + "\n");
+  };
+  if (request.target == "/_health") {
+    if (request.method != "GET") return answer(405, "only GET");
+    return ready() ? answer(200, "ready") : answer(503, stopping_ ? "stopping" : "no list is known yet");
+  }
+  HandedIn in;
+  if (const auto unfit = read_request(request, config_.names, in)) return answer(unfit->status, unfit->why);
+  if (names_.count(in.id) > 0) return answer(409, "a message with this id is held");
+  if (stopping_) return answer(503, "the relay is stopping");
+  if (destinations_.count(in.message.destination) == 0)
+    return answer(503, "no list has shown this destination");
+  if (!journal_->room()) return answer(503, "the journal has no room now");
+  const MessageId id = next_id_;
+  std::string name = std::move(in.id);
+  if (core_->take(loop_.refresh(), id, std::move(in.message)) != relay::Core::Taken::yes)
+    return answer(503, "the relay holds all that it may");
+  next_id_++;
+  names_[name] = id;
+  held_[id] = {std::move(name), client};
+  waiting_clients_[client] = id;
+  waiting_.push_back({id, core_->rounds()});
+  poke();
+}
+
+// Its client left before it heard of it: withdrawn.
+void Relay::gone(Clients::Number client) {
+  const auto it = waiting_clients_.find(client);
+  if (it == waiting_clients_.end()) return;
+  const MessageId id = it->second;
+  forget(id);
+  core_->withdraw(loop_.refresh(), id);
+  poke();
+}
+
+// Taken on, once the module has had its say and the record of it outlives the process.
+void Relay::answer_taken() {
+  auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (const auto& w : waiting) {
+    const auto it = held_.find(w.id);
+    if (it == held_.end() || it->second.client == 0) continue;  // answered or withdrawn meanwhile
+    if (w.round == core_->rounds() && !frozen_) {
+      waiting_.push_back(w);
+      continue;
+    }
+    const auto client = it->second.client;
+    if (journal_->keeper().failed()) {
+      // Nobody would know of it after a crash: not taken on, and none of our business any more.
+      forget(w.id);
+      core_->withdraw(loop_.now(), w.id);
+      clients_->answer(client, 500, {}, "the journal can't be written\n");
+      continue;
+    }
+    waiting_clients_.erase(client);
+    it->second.client = 0;
+    clients_->answer(client, 202, {}, {});
+  }
+}
+
+Relay::Held Relay::forget(MessageId id) {
+  const auto it = held_.find(id);
+  if (it == held_.end()) return {};
+  Held held = std::move(it->second);
+  held_.erase(it);
+  names_.erase(held.name);
+  if (held.client != 0) waiting_clients_.erase(held.client);
+  return held;
+}
+
+void Relay::served(MessageId id, const relay::Ending&) {
+  const Held held = forget(id);
+  if (held.client != 0) clients_->answer(held.client, 200, {}, {});
+  journal_->keeper().handed_over(id);
+}
+
+void Relay::refused(MessageId id, Time come_back, const relay::Account&) {
+  const Held held = forget(id);
+  if (held.name.empty()) return;
+  if (held.client == 0) return outcomes_->add(id, returned_notice(held.name, come_back));
+  std::vector<http1::Field> fields;
+  if (come_back > 0) fields.push_back({"Retry-After", http1::seconds_text(come_back)});
+  clients_->answer(held.client, 503, fields, "refused; handing it in again is harmless\n");
+  journal_->keeper().handed_over(id);
+}
+
+void Relay::failed(MessageId id, const relay::Account&) {
+  const Held held = forget(id);
+  if (held.name.empty()) return;
+  if (held.client == 0) return outcomes_->add(id, failed_notice(held.name));
+  clients_->answer(held.client, 500, {}, "failed\n");
+  journal_->keeper().handed_over(id);
+}
+
+// ---- turns ----
+
+void Relay::poke() {
+  if (poked_) return;
+  poked_ = true;
+  loop_.defer([this] {
+    poked_ = false;
+    turn();
+  });
+}
+
+// A round of the module if one is due; then what it wrote down is made to last, what waited for that goes,
+// and all that was ordered leaves: in this turn.
+void Relay::turn() {
+  if (!frozen_) core_->turn(loop_.refresh());
+  journal_->commit();
+  endpoints_->flush();
+  answer_taken();
+  loop_.cancel(timer_), timer_ = 0;
+  if (!frozen_) {
+    const Time due = core_->next_due();
+    if (due < std::numeric_limits<Time>::max())
+      timer_ = loop_.at(due, [this] {
+        timer_ = 0;
+        turn();
+      });
+  }
+  if (stopping_) check_stopped();
+}
+
+void Relay::reload(const Config& config) {
+  if (config.discovery == config_.discovery) return log_("reloaded", "nothing has changed");
+  config_.discovery = config.discovery;
+  discovery_->move_to(config.discovery);
+  outcomes_->move_to(config.discovery);
+  log_("reloaded", "discovery is at " + config.discovery);
+}
+
+void Relay::stop(std::function<void()> stopped) {
+  if (stopping_) return;
+  stopping_ = true, stopped_ = std::move(stopped);
+  core_->stop_taking();
+  clients_->drain();
+  stop_timers_.push_back(loop_.after(kLastRound, [this] {
+    frozen_ = true;
+    turn();
+  }));
+  stop_timers_.push_back(loop_.after(kStopWithin, [this] {
+    if (stopped_) std::exchange(stopped_, nullptr)();
+  }));
+  poke();
+}
+
+void Relay::check_stopped() {
+  const bool nothing_out = endpoints_->calls_out() == 0 && outcomes_->empty() && waiting_.empty();
+  if (!stopped_ || !nothing_out || (!frozen_ && core_->held() > 0)) return;
+  // Clients that still connect are answered until the end: see Clients::drain().
+  if (frozen_) std::exchange(stopped_, nullptr)();
+}
+
+std::string Relay::counts() const {
+  const auto& c = core_->counts();
+  const auto& e = endpoints_->counts();
+  const auto& k = clients_->counts();
+  const auto pair = [](const char* name, std::uint64_t n) {
+    return std::string("\"") + name + "\":" + std::to_string(n) + ",";
+  };
+  std::string text = "{" + pair("taken", c.taken) + pair("not_taken", c.not_taken) +
+                     pair("served", c.served) + pair("refused", c.refused) + pair("failed", c.failed) +
+                     pair("withdrawn", c.withdrawn) + pair("held", core_->held()) + pair("calls", e.calls) +
+                     pair("calls_out", endpoints_->calls_out()) + pair("reused", e.reused) +
+                     pair("opened", e.opened) + pair("stale", e.stale) + pair("spoilt", e.spoilt) +
+                     pair("no_descriptor", e.full) + pair("links", endpoints_->connections()) +
+                     pair("clients", clients_->connections()) + pair("accepted", k.accepted) +
+                     pair("requests", k.requests) + pair("unread", k.unread) + pair("evicted", k.evicted) +
+                     pair("timed_out", k.timed_out) + pair("notices", outcomes_->size()) +
+                     pair("journal_bytes", journal_->bytes()) + pair("rounds", core_->rounds());
+  text.back() = '}';
+  return text;
+}
+
+}  // namespace cedarplank::platform
--- /dev/null
+++ b/src/platform/relay.hpp
@@ -0,0 +1,90 @@
+// One relay on the platform: its protocol's ways in and out around one core, with a journal between them. All
+// decisions on messages are the module's; this carries them out.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "platform/clients.hpp"
+#include "platform/config.hpp"
+#include "platform/discovery.hpp"
+#include "platform/endpoints.hpp"
+#include "platform/journal.hpp"
+#include "platform/outcomes.hpp"
+#include "platform/peers.hpp"
+#include "relay/core.hpp"
+
+namespace cedarplank::platform {
+
+class Relay final : relay::Answers, relay::Log {
+ public:
+  using LogSink = std::function<void(const char* event, const std::string& text)>;
+  // Opens the journal, takes over what it holds, and listens. Throws naming the cause.
+  Relay(loop::Loop& loop, Config config, LogSink log);
+  ~Relay() override;
+
+  // Only the address of discovery may change in service.
+  void reload(const Config& config);
+  // Nothing more is taken; what is out gets its outcome. `stopped` is called once, in time for a kill after
+  // 3.7 s; what is held then stays in the journal.
+  void stop(std::function<void()> stopped);
+
+  bool ready() const { return listed_ && !stopping_; }
+  net::Address address() const { return clients_->address(); }
+  std::size_t held() const { return core_->held(); }
+  std::string counts() const;  // one line of JSON
+  const Journal& journal() const { return *journal_; }
+
+ private:
+  struct Held {
+    std::string name;        // as its client names it
+    Clients::Number client;  // that waits for a first answer; 0: none does
+  };
+  struct Waiting {  // for the module's word, and for the record of it
+    MessageId id;
+    std::uint64_t round;
+  };
+  void request(Clients::Number client, http1::Message& request);
+  void gone(Clients::Number client);
+  void list(const Catalogue& catalogue, bool cached);
+  void recover();
+  void poke();
+  void turn();
+  void answer_taken();
+  void check_stopped();
+  Time unix_to_module() const;
+  Held forget(MessageId id);
+  // relay::Answers
+  void served(MessageId id, const relay::Ending& ending) override;
+  void refused(MessageId id, Time come_back, const relay::Account& account) override;
+  void failed(MessageId id, const relay::Account& account) override;
+  // relay::Log
+  void line(const std::string& text) override { log_("module", text); }
+
+  loop::Loop& loop_;
+  Config config_;
+  LogSink log_;
+  std::unique_ptr<Endpoints> endpoints_;
+  std::unique_ptr<Outcomes> outcomes_;
+  std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Peers> peers_;
+  std::unique_ptr<Journal> journal_;
+  std::unique_ptr<relay::Core> core_;
+  std::unique_ptr<Clients> clients_;
+  std::map<MessageId, Held> held_;
+  std::map<std::string, MessageId> names_;
+  std::map<Clients::Number, MessageId> waiting_clients_;
+  std::vector<Waiting> waiting_;
+  std::set<DestinationId> destinations_;  // that any list has shown
+  MessageId next_id_ = 1;
+  bool listed_ = false, poked_ = false, stopping_ = false, frozen_ = false;
+  std::function<void()> stopped_;
+  loop::TimerId timer_ = 0;
+  std::vector<loop::TimerId> stop_timers_;
+};
+
+}  // namespace cedarplank::platform
--- /dev/null
+++ b/src/platform/semantics.cpp
@@ -0,0 +1,189 @@
+#include "platform/semantics.hpp"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <map>
+
+namespace cedarplank::platform {
+namespace {
+
+constexpr std::size_t kMostId = 128;  // bytes
+
+// Ids go into lines of bulk calls, one word each.
+bool word(const std::string& text) {
+  return !text.empty() && text.size() <= kMostId &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+// "dest=7", perhaps among others.
+bool destination_of(std::string_view text, DestinationId& out) {
+  while (!text.empty()) {
+    const auto end = text.find_first_of(";, ");
+    const auto one = text.substr(0, end);
+    if (one.substr(0, 5) == "dest=") {
+      const auto number = one.substr(5);
+      if (number.empty() || number.size() > 15) return false;
+      out = 0;
+      for (const char c : number) {
+        if (c < '0' || c > '9') return false;
+        out = out * 10 + (c - '0');
+      }
+      return true;
+    }
+    if (end == std::string_view::npos) break;
+    text.remove_prefix(end + 1);
+  }
+  return false;
+}
+
+Time told_wait(const http1::Message& answer) {
+  const auto* after = answer.find("retry-after");
+  Time wait = 0;
+  return after != nullptr && http1::seconds_of(*after, wait) ? wait : 0;
+}
+
+Report report_of(const http1::Message& answer) {
+  Report report;
+  const auto* text = answer.find("x-load-report");
+  if (text == nullptr || text->size() > 1024) return report;
+  // Guards against a report that can't be read: the answer is good all the same.
+  rapidjson::Document d;
+  d.Parse<rapidjson::kParseIterativeFlag>(text->data(), text->size());
+  if (d.HasParseError() || !d.IsObject()) return report;
+  const auto number = [&](const char* name, double& to) {
+    const auto it = d.FindMember(name);
+    if (it != d.MemberEnd() && it->value.IsNumber()) to = it->value.GetDouble();
+  };
+  number("x0", report.limit_left), number("x1", report.limit_rate);
+  return report;
+}
+
+std::string json_line(const std::string& id, const char* state, Time come_back) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+  w.StartObject();
+  w.Key("id"), w.String(id.data(), static_cast<rapidjson::SizeType>(id.size()));
+  w.Key("state"), w.String(state);
+  if (come_back > 0) w.Key("after_ms"), w.Int64((come_back + 999) / 1000);
+  w.EndObject();
+  return std::string(buffer.GetString(), buffer.GetSize()) + "\n";
+}
+
+}  // namespace
+
+std::optional<Unfit> read_request(http1::Message& request, const settings::Tables& names, HandedIn& out) {
+  std::string_view path = request.target;
+  if (path.substr(0, 1) != "/") return Unfit{400, "the target is no path"};
+  path.remove_prefix(1);
+  const auto cls = settings::position(names.classes, std::string(path.substr(0, path.find_first_of("/?"))));
+  if (cls < 0) return Unfit{404, "no such class"};
+  if (request.method != "POST") return Unfit{405, "messages are handed in by POST"};
+  auto& m = out.message;
+  m.message_class = cls;
+  const auto* id = request.find("x-call-id");
+  if (id == nullptr || !word(*id)) return Unfit{400, "X-Call-Id: one word is needed"};
+  out.id = *id;
+  const auto* budget = request.find("x-budget");
+  if (budget == nullptr || !http1::seconds_of(*budget, m.time_left) || m.time_left <= 0)
+    return Unfit{400, "X-Budget: a positive number of seconds is needed"};
+  const auto* route = request.find("x-route-to");
+  if (route == nullptr || !destination_of(*route, m.destination))
+    return Unfit{400, "X-Route-To: dest=NUMBER is needed"};
+  if (const auto* caller = request.find("x-caller")) m.tenant = settings::position(names.tenants, *caller);
+  // Another mark says that a relay died with it: that is no repeat by the client.
+  const auto* again = request.find("x-again");
+  m.repeat = again != nullptr && *again == "1";
+  m.owner = out.id;
+  m.body = std::move(request.body);
+  return std::nullopt;
+}
+
+std::string single_call(const Called& m, Time budget, const std::string& host) {
+  return http1::request("POST", "/inbox", host,
+                        {{"X-Call-Id", m.id}, {"X-Budget", http1::seconds_text(budget)}}, m.body);
+}
+
+std::string bulk_call(const std::vector<Called>& messages, Time budget, const std::string& host) {
+  std::string body;
+  for (const auto& m : messages) {
+    body += m.id + " " + (m.key.empty() ? "-" : m.key) + " " + std::to_string(m.body.size()) + "\r\n";
+    body.append(m.body).append("\r\n");
+  }
+  return http1::request("POST", "/inbox/bulk", host, {{"X-Budget", http1::seconds_text(budget)}}, body);
+}
+
+relay::Ending ending_of(const http1::Message& answer) {
+  relay::Ending e;
+  e.what = std::to_string(answer.status);
+  e.report = report_of(answer);
+  switch (answer.status) {
+    case 200:
+      e.outcome = Outcome::served;
+      break;
+    case 429:
+    case 503:
+      e.outcome = answer.has("x-egress-full") ? Outcome::not_sent : Outcome::full;
+      if (e.outcome == Outcome::full) e.told_wait = told_wait(answer);
+      break;
+    case 410:
+    case 413:
+    case 504:
+      e.outcome = Outcome::not_sent;
+      break;
+    default:
+      e.outcome = Outcome::error;
+  }
+  return e;
+}
+
+std::vector<relay::Ending> endings_of(const http1::Message& answer, bool whole,
+                                      const std::vector<std::string>& ids) {
+  relay::Ending all = ending_of(answer);
+  // Nothing of a bulk call that could not be read has run.
+  if (answer.status == 400) all.outcome = Outcome::not_sent;
+  // What can't be read to its end tells nothing of any one: each may have run.
+  if (!whole) all = {Outcome::error, 0, {}, "an answer that can't be read", {}};
+  if (all.outcome != Outcome::served) return std::vector(ids.size(), all);
+  std::map<std::string_view, std::string_view> ends;
+  std::string_view rest = answer.body;
+  while (!rest.empty()) {
+    const auto end = rest.find('\n');
+    auto line = rest.substr(0, end);
+    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const auto space = line.find(' ');
+    if (space == std::string_view::npos) continue;
+    // Told twice and differently: nothing is known of it.
+    const auto [it, fresh] = ends.emplace(line.substr(0, space), line.substr(space + 1));
+    if (!fresh && it->second != line.substr(space + 1)) it->second = {};
+  }
+  const Time wait = told_wait(answer);
+  std::vector<relay::Ending> out;
+  for (const auto& id : ids) {
+    relay::Ending e = all;
+    const auto it = ends.find(id);
+    const auto end = it == ends.end() ? std::string_view("no end told") : it->second;
+    e.what = end;
+    if (end == "ok")
+      e.outcome = Outcome::served;
+    else if (end == "later")
+      e.outcome = Outcome::full;
+    else if (end == "gone" || end == "exhausted")
+      e.outcome = Outcome::not_sent;
+    else
+      e.outcome = Outcome::error;
+    e.told_wait = wait;  // binds whatever became of this one
+    out.push_back(std::move(e));
+  }
+  return out;
+}
+
+std::string failed_notice(const std::string& id) { return json_line(id, "failed", 0); }
+std::string returned_notice(const std::string& id, Time come_back) {
+  return json_line(id, "returned", come_back);
+}
+
+}  // namespace cedarplank::platform
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -65,7 +65,7 @@
   if (ports_.witness != nullptr) ports_.witness->at(now), ports_.witness->taken(id, m.message, m.deadline);
   // The time that passes until the round counts against the message: see turn().
   events_.push_back(event::Arrival{id, m.message->destination, m.message->message_class, m.message->tenant,
-                                   m.deadline, m.message->order_key, false});
+                                   m.deadline, m.message->order_key, m.message->repeat});
   return Taken::yes;
 }
 
@@ -323,7 +323,8 @@
     s.round = round_, s.attempt = attempt, s.endpoint = a.endpoint, s.span = times_out - now,
     reason(a.reason, s);
   });
-  ports_.transport.send({id, a.endpoint, a.id, attempt, m.deadline - now, m.message, at->second.zone});
+  ports_.transport.send(
+      {id, a.endpoint, a.id, attempt, m.deadline - now, m.message, at->second.zone, times_out - now, bundle});
 }
 
 void Core::carry_out(Time now, const std::vector<Action>& actions) {
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -35,6 +35,7 @@
   // What its front must know of it in a later run; opaque, and kept with a message and its answer. Empty:
   // nothing.
   std::string owner;
+  bool repeat = false;  // its client says that it hands it in again
   // Where it came from, for its story: the client's connection and stream; 0: a host of the library.
   std::uint64_t client_connection = 0;
   std::uint32_t client_stream = 0;
@@ -47,7 +48,9 @@
   int attempt = 0;
   Time time_left = 0;  // of the message
   std::shared_ptr<const NewMessage> message;
-  int zone = 0;  // of the endpoint
+  int zone = 0;              // of the endpoint
+  Time timeout = 0;          // of this attempt: its outcome is waited for so long
+  std::uint64_t bundle = 0;  // calls of one bundle may travel together: one slot, one call
 };
 
 // How a call ended, as the wire shows it.
