--- /dev/null
+++ b/fuzz/http1_fuzz.cpp
@@ -0,0 +1,64 @@
+// HTTP/1.1, both sides: whatever the bytes, and however they are cut, what is read is the same, within its
+// bounds; and a request that the platform's front takes is one that it can pass on.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "http1/message.hpp"
+#include "platform/semantics.hpp"
+
+namespace {
+
+using namespace cedarplank;
+using http1::Reader;
+
+std::string run(Reader::Side side, std::string_view bytes, std::size_t piece) {
+  http1::Bounds bounds;
+  bounds.head = 512, bounds.fields = 8, bounds.body = 256;
+  Reader r(side, bounds);
+  std::string seen;
+  for (int messages = 0; messages < 8 && r.state() != Reader::State::broken; messages++) {
+    while (!bytes.empty() && r.state() != Reader::State::complete && r.state() != Reader::State::broken) {
+      const auto n = r.take(bytes.substr(0, piece));
+      bytes.remove_prefix(n);
+      if (n == 0) break;
+    }
+    if (bytes.empty()) r.end();
+    const auto& m = r.message();
+    if (m.body.size() > bounds.body || m.fields.size() > bounds.fields) std::abort();
+    if (r.state() != Reader::State::complete) break;
+    seen += m.method + " " + m.target + " " + std::to_string(m.status) + "\n";
+    for (const auto& f : m.fields) {
+      if (f.value.find_first_of("\r\n") != std::string::npos) std::abort();
+      seen += f.name + ":" + f.value + "\n";
+    }
+    seen += m.body + (m.close ? "|close\n" : "|\n");
+    if (side == Reader::Side::responses) {
+      platform::ending_of(m);
+      platform::endings_of(m, true, {"a", "b"});
+    } else {
+      settings::Tables names;
+      names.classes = {{"notice", 0}};
+      http1::Message copy = m;
+      platform::HandedIn in;
+      if (!platform::read_request(copy, names, in)) {
+        if (in.id.empty() || in.id.find(' ') != std::string::npos || in.message.time_left <= 0) std::abort();
+        platform::bulk_call({{in.id, "", in.message.body}}, 1, "h");
+      }
+    }
+    r.next();
+  }
+  return seen + std::to_string(static_cast<int>(r.state())) + r.problem();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size < 2) return 0;
+  const auto side = data[0] & 1 ? Reader::Side::requests : Reader::Side::responses;
+  const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+  const auto whole = run(side, bytes, bytes.size());
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{2}, std::size_t{7}})
+    if (run(side, bytes, piece) != whole) std::abort();
+  return 0;
+}
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,8 +9,8 @@
 done
 CC=clang CXX=clang++ cmake -B build-fuzz -G Ninja -DCMAKE_BUILD_TYPE=Release -DCMAKE_CXX_FLAGS_RELEASE="-O1 -g1" \
   -DCMAKE_CXX_FLAGS="-fsanitize=fuzzer-no-link -fsanitize-ignorelist=$PWD/fuzz/ignore.txt" -DCEDARPLANK_SERVICE=ON -DCEDARPLANK_FUZZ=ON -DCEDARPLANK_SANITIZE=ON >/dev/null
-cmake --build build-fuzz --target fuzz_hpack fuzz_http2 fuzz_settings fuzz_story fuzz_smpp fuzz_journal
-for target in hpack http2 settings story smpp journal; do
+cmake --build build-fuzz --target fuzz_hpack fuzz_http1 fuzz_http2 fuzz_settings fuzz_story fuzz_smpp fuzz_journal
+for target in hpack http1 http2 settings story smpp journal; do
   corpus=build-fuzz/corpus-$target
   mkdir -p "$corpus"
   [ "$target" = settings ] && cp examples/quickstart/*.yaml examples/bad-day-relay.yaml "$corpus"
--- a/src/platform/endpoints.cpp
+++ b/src/platform/endpoints.cpp
@@ -69,7 +69,8 @@
   if (!link) {
     const char* why = at == addresses_.end() ? "its endpoint has left the list" : "no descriptor is left";
     // Not from within the core's own round.
-    loop_.defer([this, bundle = std::move(bundle), why] {
+    loop_.defer([this, weak = std::weak_ptr(alive_), bundle = std::move(bundle), why] {
+      if (weak.expired()) return;
       for (const auto& call : bundle) host_.ended(call.id, {Outcome::not_sent, 0, {}, why, {}});
     });
     return;
--- a/src/platform/endpoints.hpp
+++ b/src/platform/endpoints.hpp
@@ -91,6 +91,7 @@
   std::uint64_t next_link_ = 1;
   loop::TimerId sweep_timer_ = 0;
   Counts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what was deferred
 };
 
 }  // namespace cedarplank::platform
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -64,7 +64,9 @@
               },
           .unsent =
               [this, unsent = std::move(ends.unsent)](relay::CallId call, relay::Ending ending) {
-                loop_.defer([unsent, call, ending] { unsent(call, ending); });
+                loop_.defer([weak = std::weak_ptr(alive_), unsent, call, ending] {
+                  if (!weak.expired()) unsent(call, ending);
+                });
               }});
   for (const auto& [sequence, bytes] : read_) keeper_->found(sequence, bytes);
   read_ = {};
@@ -86,8 +88,10 @@
       problem = "record " + std::to_string(s) + " " + why;
     read_.emplace_back(s, bytes.size());
   });
-  if (opened.torn > 0) log_line_(std::to_string(opened.torn) +
-              " bytes behind the last record were cleared: a commit that never ended, or a segment's earlier use");
+  if (opened.torn > 0)
+    log_line_(
+        std::to_string(opened.torn) +
+        " bytes behind the last record were cleared: a commit that never ended, or a segment's earlier use");
   if (opened.problem) problem = opened.problem->text;
   if (!problem.empty()) salvage(image, problem);
 }
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -60,6 +60,7 @@
   std::unique_ptr<journal::Keeper> keeper_;
   bool dirty_ = false;
   loop::TimerId timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what was deferred
 };
 
 }  // namespace cedarplank::platform
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -275,7 +275,8 @@
 void Relay::poke() {
   if (poked_) return;
   poked_ = true;
-  loop_.defer([this] {
+  loop_.defer([this, weak = std::weak_ptr(alive_)] {
+    if (weak.expired()) return;
     poked_ = false;
     turn();
   });
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -85,6 +85,7 @@
   std::function<void()> stopped_;
   loop::TimerId timer_ = 0;
   std::vector<loop::TimerId> stop_timers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what was deferred
 };
 
 }  // namespace cedarplank::platform
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,477 @@
+// The platform's protocol on loopback: each outcome, each bad request, each spoilt answer; restarts, reloads
+// and the bounds. One loop, no sleeps.
+#include "platform_world.hpp"
+
+namespace cedarplank::platform::testing {
+namespace {
+
+class Platform : public ::testing::Test, public World {
+ protected:
+  void serve() {
+    if (endpoints.empty()) add("s-1", 7);
+    start();
+  }
+  // What becomes of one message handed in, as the platform hears it: its status, or its notice.
+  std::string fate(const std::string& id, const std::string& cls = "status",
+                   const std::string& budget = "6.0") {
+    Client c(*this);
+    c.hand_in(id, cls, 7, budget);
+    const int status = c.status();
+    if (status != 202) return std::to_string(status);
+    if (!until([&] { return relay->held() == 0; })) return "held";
+    until([&] { return noticed(id); }, 200'000);
+    for (const auto& n : notices)
+      if (n.find(id) != std::string::npos)
+        return n.find("failed") != std::string::npos ? "failed" : "returned";
+    return "delivered";
+  }
+  static Server::Reply once(int& n, const std::string& first, const Call& call) {
+    return n++ == 0 ? Server::Reply{first} : Server::Reply{ok(call)};
+  }
+};
+
+TEST_F(Platform, AMessageIsTakenOnAndDeliveredOverAConnectionThatIsKept) {
+  serve();
+  EXPECT_EQ(fate("m-1"), "delivered");
+  EXPECT_EQ(fate("m-2", "order"), "delivered");
+  ASSERT_EQ(calls.size(), 2u);
+  EXPECT_EQ(calls[0].connection, calls[1].connection);
+  EXPECT_EQ(calls[0].body, "hello");
+  EXPECT_EQ(calls[0].path, "/inbox");
+  EXPECT_TRUE(notices.empty());
+  // Idle for nearly as long as the other side allows: closed here, so that no call crosses its close.
+  EXPECT_TRUE(until([&] { return endpoints.at("s-1").server->connections() == 0; }));
+  EXPECT_EQ(fate("m-3"), "delivered");
+}
+
+TEST_F(Platform, HealthIsWellOnceAListIsKnown) {
+  add("s-1", 7);
+  discoveries[0]->down();
+  start(false);
+  Client c(*this);
+  c.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(c.status(), 503);
+  discoveries[0]->again();
+  EXPECT_TRUE(until([&] { return relay->ready(); }));
+  c.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(c.status(), 200);
+}
+
+// Each outcome of the protocol's table, by what becomes of a message that must not run twice: sent again
+// where it is proved that it never ran, failed where it may have.
+TEST_F(Platform, WhatNeverRanGoesAgainAndWhatMayHaveRunDoesNot) {
+  serve();
+  const struct {
+    const char* what;
+    Server::Reply reply;
+    const char* fate;
+  } cases[] = {
+      {"429", {"HTTP/1.1 429 No\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n"}, "delivered"},
+      {"503", {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"}, "delivered"},
+      {"503 own slots", {"HTTP/1.1 503 No\r\nX-Egress-Full: 1\r\nContent-Length: 0\r\n\r\n"}, "delivered"},
+      {"500", {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"}, "failed"},
+      {"reset", {"", Server::Reply::Then::abort}, "failed"},
+      {"closed", {"", Server::Reply::Then::close}, "failed"},
+      {"cut", {"HTTP/1.1 50", Server::Reply::Then::close}, "failed"},
+      {"half a 503",
+       {"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nhalf", Server::Reply::Then::close},
+       "failed"},
+      {"noise", {"\x01\x02 noise\r\n"}, "failed"},
+      {"head that can't be read", {"HTTP/1.1 503 No\r\nno colon\r\n\r\n"}, "failed"},
+      {"3 GB", {"HTTP/1.1 500 Oh\r\nContent-Length: 3000000000\r\n\r\nxxxx"}, "failed"},
+      {"200, then spoilt", {"HTTP/1.1 200 OK\r\nno colon\r\n\r\n"}, "delivered"},
+      {"200, 3 GB", {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx"}, "delivered"},
+      {"200, head without end", {"HTTP/1.1 200 OK\r\nX-A: "}, "delivered"},
+      {"200, cut", {"HTTP/1.1 200 OK\r\nX-A", Server::Reply::Then::close}, "delivered"},
+      {"1xx ahead", {"HTTP/1.1 102 P\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, "delivered"},
+      {"a report that can't be read",
+       {"HTTP/1.1 200 OK\r\nX-Load-Report: {\"x0\":[[[\r\nContent-Length: 0\r\n\r\n"},
+       "delivered"},
+  };
+  int n = 0;
+  for (const auto& c : cases) {
+    int answered = 0;
+    answers["s-1"] = [&](const Call& call) { return answered++ == 0 ? c.reply : Server::Reply{ok(call)}; };
+    const std::string id = "t-" + std::to_string(n++);
+    EXPECT_EQ(fate(id, "order"), c.fate) << c.what;
+    const bool again = std::string(c.fate) == "delivered" && std::string(c.what).substr(0, 2) != "20" &&
+                       std::string(c.what).substr(0, 2) != "1x" && std::string(c.what).substr(0, 2) != "a ";
+    EXPECT_EQ(called(id), again ? 2u : 1u) << c.what;
+  }
+}
+
+TEST_F(Platform, AnEndpointThatCannotBeReachedHasRunNothing) {
+  serve();
+  endpoints.at("s-1").server->down();
+  Client c(*this);
+  c.hand_in("m-1", "order");
+  EXPECT_EQ(c.status(), 202);
+  endpoints.at("s-1").server->again();
+  EXPECT_TRUE(until([&] { return relay->held() == 0; }));
+  EXPECT_EQ(called("m-1"), 1u);
+  EXPECT_TRUE(notices.empty());
+}
+
+TEST_F(Platform, ASecondAnswerBehindAGoodOneEndsTheConnection) {
+  serve();
+  const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  answers["s-1"] = [&](const Call&) { return Server::Reply{good + good}; };
+  EXPECT_EQ(fate("m-1"), "delivered");
+  answers["s-1"] = [&](const Call&) { return Server::Reply{"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"}; };
+  // The copy must not be taken for the answer of the next call.
+  EXPECT_EQ(fate("m-2", "order"), "failed");
+  EXPECT_NE(calls[0].connection, calls[1].connection);
+}
+
+TEST_F(Platform, AConnectionClosedWhileIdleIsNotWrittenTo) {
+  serve();
+  EXPECT_EQ(fate("m-1"), "delivered");
+  endpoints.at("s-1").server->down();
+  endpoints.at("s-1").server->again();
+  // In doubt it would have failed.
+  EXPECT_EQ(fate("m-2", "order"), "delivered");
+}
+
+TEST_F(Platform, ALateOrMissingAnswerIsGivenUpByClosingTheConnection) {
+  serve();
+  answers["s-1"] = [&](const Call&) { return Server::Reply{}; };
+  EXPECT_EQ(fate("m-1", "order", "0.4"), "failed");
+  EXPECT_TRUE(until([&] { return endpoints.at("s-1").server->connections() == 0; }));
+  EXPECT_LE(std::stod(calls[0].budget), 0.4);
+}
+
+TEST_F(Platform, SendsOfOneTurnToAKindThatBundlesTravelTogether) {
+  add("b-1", 7, "big");
+  serve();
+  Client a(*this), b(*this), c(*this);
+  until([&] { return false; }, 20'000);  // connected
+  a.hand_in("m-1", "order", 7, "6.0", "one\r\ntwo"), b.hand_in("m-2", "order"), c.hand_in("m-3", "order");
+  answers["b-1"] = [&](const Call& call) -> Server::Reply {
+    if (call.path == "/inbox") return {ok(call)};
+    std::string body;
+    const char* ends[] = {" ok", " later", " error"};
+    int i = 0;
+    for (const auto& id : ids_of(call)) body += id + ends[i++ % 3] + "\r\n";
+    return {http1::response(200, {}, body, false)};
+  };
+  ASSERT_EQ(a.status(), 202);
+  ASSERT_EQ(b.status(), 202);
+  ASSERT_EQ(c.status(), 202);
+  EXPECT_TRUE(until([&] { return relay->held() == 0 && noticed("m-3"); }));
+  ASSERT_EQ(calls[0].path, "/inbox/bulk");
+  EXPECT_NE(calls[0].body.find("m-1 - 8\r\none\r\ntwo\r\n"), std::string::npos);
+  EXPECT_EQ(called("m-1"), 1u);
+  EXPECT_EQ(called("m-2"), 2u);  // it never ran
+  EXPECT_TRUE(noticed(R"({"id":"m-3","state":"failed"})"));
+}
+
+TEST_F(Platform, ABulkAnswerCutInItsMiddleLeavesEachInDoubt) {
+  add("b-1", 7, "big");
+  serve();
+  Client a(*this), b(*this);
+  until([&] { return false; }, 20'000);
+  a.hand_in("m-1", "order"), b.hand_in("m-2", "order");
+  answers["b-1"] = [&](const Call&) -> Server::Reply {
+    return {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nm-1 ok\r\nm-", Server::Reply::Then::close};
+  };
+  ASSERT_EQ(a.status(), 202);
+  ASSERT_EQ(b.status(), 202);
+  EXPECT_TRUE(until([&] { return noticed("m-1") && noticed("m-2"); }));
+  EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Platform, RequestsThatCannotBeReadAreTurnedAwayAndNothingOfThemIsSent) {
+  serve();
+  const auto with = [](const std::string& from, const std::string& to) {
+    std::string r = Client::request("bad");
+    const auto at = r.find(from);
+    return r.replace(at, from.size(), to);
+  };
+  const struct {
+    std::string bytes;
+    int status;
+  } cases[] = {
+      {with("/status", "/nothing"), 404},
+      {with("POST", "GET"), 405},
+      {with("dest=7", "dest=99"), 503},
+      {with("dest=7", "dest=-7"), 400},
+      {with("dest=7", "7"), 400},
+      {with("X-Budget: 6.0", "X-Budget: soon"), 400},
+      {with("X-Budget: 6.0", "X-Budget: -1"), 400},
+      {with("X-Budget: 6.0", "X-Budget: 0"), 400},
+      {with("X-Budget: 6.0", "X-Budget: nan"), 400},
+      {with("X-Call-Id: bad\r\n", ""), 400},
+      {with("X-Call-Id: bad", "X-Call-Id: two words"), 400},
+      {with("Content-Length: 5", "Content-Length: -5"), 400},
+      {with("Content-Length: 5", "Content-Length: 60000000"), 413},
+      {with("Content-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked"), 400},
+      {"nonsense\r\n\r\n", 400},
+  };
+  for (const auto& c : cases) {
+    Client client(*this);
+    client.write(c.bytes);
+    EXPECT_EQ(client.status(), c.status) << c.bytes;
+  }
+  EXPECT_EQ(relay->held(), 0u);
+  EXPECT_TRUE(calls.empty());
+}
+
+TEST_F(Platform, AnIdThatIsHeldIsNotTakenTwice) {
+  serve();
+  answers["s-1"] = [&](const Call&) { return Server::Reply{}; };
+  Client a(*this), b(*this);
+  a.hand_in("m-1");
+  EXPECT_EQ(a.status(), 202);
+  b.hand_in("m-1");
+  EXPECT_EQ(b.status(), 409);
+}
+
+TEST_F(Platform, ManyRequestsOnOneConnectionAreAnsweredInTheirOrder) {
+  serve();
+  Client c(*this);
+  std::string all;
+  for (int i = 0; i < 30; i++) all += Client::request("m-" + std::to_string(i), "status", i % 2 ? 7 : 99);
+  c.write(all);
+  for (int i = 0; i < 30; i++) {
+    const int status = c.status();
+    if (i % 2)
+      EXPECT_TRUE(status == 202 || status == 200) << i;
+    else
+      EXPECT_EQ(status, 503) << i;
+  }
+}
+
+TEST_F(Platform, AClientThatLeavesBeforeItsAnswerHasWithdrawn) {
+  add("s-1", 7);
+  endpoints.at("s-1").status = "draining";  // nothing can be sent: the message would be held
+  serve();
+  {
+    Client c(*this);
+    until([&] { return false; }, 20'000);
+    c.hand_in("m-1");
+    loop.run_once(1'000);  // read, and not answered before the round
+    c.close();
+  }
+  EXPECT_TRUE(until([&] {
+    return relay->counts().find("\"withdrawn\":1") != std::string::npos ||
+           relay->counts().find("\"taken\":0") != std::string::npos;
+  }));
+  EXPECT_EQ(relay->held(), 0u);
+}
+
+TEST_F(Platform, ClientsThatSayNothingOrStopHalfwayAreClosedInTime) {
+  serve();
+  Client silent(*this), half(*this);
+  half.write("POST /status HTTP/1.1\r\nHost: b\r\nX-Ca");
+  const Time from = loop::monotonic_now();
+  EXPECT_EQ(silent.status(), 0);
+  EXPECT_EQ(half.status(), 408);
+  EXPECT_LT(loop::monotonic_now() - from, 3'000'000);
+}
+
+TEST_F(Platform, AFloodOfConnectionsLeavesRoomForThoseThatAsk) {
+  serve();
+  std::vector<std::unique_ptr<Client>> flood;
+  for (int i = 0; i < 150; i++) flood.push_back(std::make_unique<Client>(*this));
+  EXPECT_EQ(fate("m-1"), "delivered");
+  const auto closed = std::count_if(flood.begin(), flood.end(), [](const auto& c) { return c->closed; });
+  EXPECT_GT(closed, 60);  // 128 descriptors in all
+}
+
+TEST_F(Platform, ADrainedEndpointGetsNothingNewAndItsSuccessorMayHaveItsAddress) {
+  serve();
+  EXPECT_TRUE(until([&] { return !watches.empty(); }));
+  add("s-2", 7);
+  change("s-1", "draining");
+  EXPECT_TRUE(until([&] { return watches.size() == 1; }));
+  for (int i = 0; i < 5; i++) EXPECT_EQ(fate("m-" + std::to_string(i)), "delivered");
+  for (const auto& c : calls) EXPECT_EQ(c.endpoint, "s-2");
+  // Its machine goes on under another name.
+  auto server = std::move(endpoints.at("s-1").server);
+  endpoints["s-3"] = {7, "small", "ready", std::move(server)};
+  endpoints.erase("s-1");
+  endpoints["s-1"] = {7, "small", "gone", std::make_unique<Server>(loop, Server::On{})};
+  change("s-2", "draining");
+  EXPECT_TRUE(until([&] { return watches.size() == 1; }));
+  EXPECT_EQ(fate("m-9"), "delivered");
+  EXPECT_EQ(calls.back().endpoint, "s-1");  // the stand-in's own name for that machine
+}
+
+TEST_F(Platform, TheWatchGoesOnAndIsTakenUpAgainAfterAnOutage) {
+  serve();
+  EXPECT_TRUE(until([&] { return !watches.empty(); }));
+  watches.clear();
+  discoveries[0]->down();
+  EXPECT_TRUE(until([&] { return logged("discovery: "); }));
+  add("s-2", 8);
+  index++;
+  discoveries[0]->again();
+  EXPECT_TRUE(until([&] { return !watches.empty(); }));
+  Client c(*this);
+  c.hand_in("m-1", "status", 8);
+  EXPECT_EQ(c.status(), 202);
+}
+
+TEST_F(Platform, AReloadMovesCatalogueAndNoticesAtOnce) {
+  serve();
+  answers["s-1"] = [&](const Call&) { return Server::Reply{"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"}; };
+  EXPECT_TRUE(until([&] { return !watches.empty(); }));
+  outcome_status = 503;
+  Client c(*this);
+  c.hand_in("m-1", "order");
+  EXPECT_EQ(c.status(), 202);
+  EXPECT_TRUE(until([&] { return logged("outcomes: answered 503"); }));
+  watches.clear();
+  discoveries[0]->down();
+  discovery = 1;
+  const auto next = read_config(config(), 0);
+  relay->reload(next), relay->reload(next);
+  outcome_status = 204;
+  EXPECT_TRUE(until([&] { return noticed("m-1"); }));
+  EXPECT_TRUE(until([&] { return watches.size() == 1 && watches[0].first == discoveries[1].get(); }));
+}
+
+// Killed with messages held, in doubt and without their notice: each gets its one end from the next run.
+TEST_F(Platform, WhatWasTakenOnOutlivesAKill) {
+  serve();
+  answers["s-1"] = [&](const Call&) { return Server::Reply{}; };
+  outcome_status = 503;
+  for (const char* id : {"safe-out", "order-out"}) {
+    Client c(*this);
+    c.hand_in(id, std::string(id).substr(0, 4) == "safe" ? "status" : "order", 7, "12");
+    EXPECT_EQ(c.status(), 202);
+  }
+  EXPECT_TRUE(until([&] { return called("safe-out") == 1 && called("order-out") == 1; }));
+  change("s-1", "draining");
+  EXPECT_TRUE(until([&] { return watches.size() == 1; }));
+  Client c(*this);
+  c.hand_in("order-held", "order", 7, "12");
+  EXPECT_EQ(c.status(), 202);
+  c.hand_in("order-late", "order", 7, "0.3");
+  EXPECT_EQ(c.status(), 202);
+  EXPECT_TRUE(until([&] { return logged("outcomes: answered 503"); }));  // order-late has ended, untold
+  kill();
+  EXPECT_FALSE(noticed("order-late"));
+  endpoints.at("s-1").status = "ready", index++;
+  answers.clear(), outcome_status = 204;
+  start();
+  EXPECT_TRUE(until([&] { return relay->held() == 0 && noticed("order-out") && noticed("order-late"); }));
+  EXPECT_TRUE(noticed(R"({"id":"order-out","state":"failed"})"));  // it may have run
+  EXPECT_EQ(called("order-out"), 1u);
+  EXPECT_EQ(called("safe-out"), 2u);
+  EXPECT_EQ(called("order-held"), 1u);
+  EXPECT_EQ(called("order-late"), 0u);
+  // And nothing is told or sent again by a third run.
+  kill();
+  const auto n = calls.size(), told = notices.size();
+  start();
+  until([&] { return false; }, 200'000);
+  EXPECT_EQ(calls.size(), n);
+  EXPECT_EQ(notices.size(), told);
+}
+
+TEST_F(Platform, ToldToEndItFinishesWhatIsOutAndKeepsWhatIsHeld) {
+  serve();
+  answers["s-1"] = [&](const Call&) { return Server::Reply{}; };
+  Client c(*this);
+  c.hand_in("m-1", "order", 7, "12");
+  EXPECT_EQ(c.status(), 202);
+  EXPECT_TRUE(until([&] { return called("m-1") == 1; }));
+  bool stopped = false;
+  relay->stop([&] { stopped = true; });
+  c.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(c.status(), 503);
+  c.hand_in("m-2", "order", 7, "12");  // clients that have connections go on using them
+  EXPECT_EQ(c.status(), 202);
+  const Time from = loop::monotonic_now();
+  EXPECT_TRUE(until([&] { return stopped; }));
+  EXPECT_LT(loop::monotonic_now() - from, 3'650'000);
+  kill();
+  answers.clear();
+  start();
+  EXPECT_TRUE(until([&] { return relay->held() == 0 && noticed("m-1"); }));
+  EXPECT_EQ(called("m-1"), 1u);
+}
+
+TEST_F(Platform, ADamagedJournalIsReadAsFarAsItCanBe) {
+  serve();
+  answers["s-1"] = [&](const Call&) { return Server::Reply{}; };
+  Client c(*this);
+  for (int i = 0; i < 5; i++) {
+    c.hand_in("m-" + std::to_string(i), "status", 7, "6");
+    EXPECT_EQ(c.status(), 202);
+  }
+  kill();
+  for (const auto& entry : std::filesystem::directory_iterator(state)) {
+    if (entry.path().filename().string().rfind("log-", 0) != 0) continue;
+    FILE* f = fopen(entry.path().c_str(), "r+b");
+    fseek(f, 180, SEEK_SET), fputs("damage", f), fclose(f);  // in the first records
+  }
+  answers.clear();
+  start();
+  EXPECT_TRUE(logged("journal: damaged"));
+  EXPECT_TRUE(until([&] { return relay->held() == 0; }));
+  EXPECT_GE(called("m-4"), 1u);
+}
+
+TEST_F(Platform, TheJournalStaysWithinItsDiskWhateverIsHandedIn) {
+  settings = settings_json();
+  settings.replace(settings.find("\"OpenCap\":50"), 12, "\"OpenCap\":500");
+  serve();
+  answers["s-1"] = [&](const Call& call) {
+    return calls.size() % 3 == 0 ? Server::Reply{ok(call)}
+                                 : Server::Reply{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"};
+  };
+  const auto used = [&] {
+    std::uint64_t bytes = 0;
+    for (const auto& e : std::filesystem::directory_iterator(state))
+      bytes += (e.file_size() + 511) / 512 * 512;
+    return bytes;
+  };
+  Client c(*this);
+  const std::string large(60'000, 'x');
+  int full = 0;
+  for (int i = 0; i < 150; i++) {
+    c.hand_in("m-" + std::to_string(i), "status", 7, "6", large);
+    const int status = c.status();
+    full += status == 503;
+    ASSERT_TRUE(status == 503 || status == 202 || status == 200) << status;
+    ASSERT_LE(used(), 3'000'000u);
+  }
+  EXPECT_GT(full, 0);
+  // And again and again, with all of it held.
+  for (int i = 0; i < 5; i++) {
+    kill();
+    start();
+    ASSERT_LE(used(), 3'000'000u);
+  }
+  answers.clear();
+  EXPECT_TRUE(until([&] { return relay->held() == 0; }, 10'000'000));
+  EXPECT_EQ(fate("m-last"), "delivered");
+  EXPECT_LE(used(), 3'000'000u);
+}
+
+TEST_F(Platform, ErrorsInTheConfigurationNameTheirPlace) {
+  add("s-1", 7);
+  const auto complaint = [&](const std::string& from, const std::string& to) {
+    std::string text = config();
+    text.replace(text.find(from), from.size(), to);
+    try {
+      read_config(text, 0);
+    } catch (const settings::FieldError& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  EXPECT_EQ(complaint("\"sockets\":128", "\"sockets\":-1"), "config.limits.sockets: must be above 0");
+  EXPECT_EQ(complaint("\"Workers\":8", "\"Workers\":\"8\""),
+            "config.settings.FamilyInfo.Workers: must be an integer");
+  EXPECT_EQ(complaint("\"status\":\"ready\"", "\"status\":\"up\""),
+            "config.known.endpoints[0].status: unknown word 'up'");
+  EXPECT_NE(complaint("\"seed\":\"8c1f", "\"seed\":\"zzzz").find("config.seed"), std::string::npos);
+  EXPECT_NE(complaint("\"settings\"", "\"set\"").find("config.settings: missing"), std::string::npos);
+  EXPECT_NE(complaint("{\"name\"", "{name").find("offset"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace cedarplank::platform::testing
--- /dev/null
+++ b/tests/platform_world.hpp
@@ -0,0 +1,302 @@
+// A platform of our own on loopback, for tests: discovery, endpoints and clients, in the relay's own loop. No
+// sleeps: the loop turns until what is waited for has come.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <stdlib.h>
+
+#include <deque>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http1/message.hpp"
+#include "net/socket.hpp"
+#include "platform/relay.hpp"
+
+namespace cedarplank::platform::testing {
+
+// Reads requests on every connection and answers with the bytes that `on` gives.
+class Server {
+ public:
+  struct Reply {
+    std::string bytes;
+    enum class Then { keep, close, abort } then = Then::keep;
+  };
+  using On = std::function<Reply(const http1::Message&, int connection)>;
+  Server(loop::Loop& loop, On on) : loop_(loop), on_(std::move(on)) { listen("127.0.0.1:0"); }
+  std::string address() const { return address_; }
+  bool up() const { return listener_ != nullptr; }
+  void down() { listener_.reset(), links_.clear(); }
+  void again() { listen(address_); }
+  void write(int connection, const std::string& bytes) { links_.at(connection)->stream->write(bytes); }
+  std::size_t connections() const { return links_.size(); }
+  int opened = 0;
+
+ private:
+  struct Link {
+    std::unique_ptr<net::TcpStream> stream;
+    http1::Reader reader{http1::Reader::Side::requests};
+  };
+  void listen(const std::string& at) {
+    listener_ = std::make_unique<net::Listener>(loop_, net::Address::parse(at), [this](net::Fd fd) {
+      const int n = ++opened;
+      auto link = std::make_shared<Link>();
+      std::weak_ptr<Link> weak = link;
+      link->stream = std::make_unique<net::TcpStream>(
+          loop_, std::move(fd),
+          net::Stream::Handlers{.connected = {},
+                                .data =
+                                    [this, weak, n](std::string_view bytes) {
+                                      if (const auto l = weak.lock()) read(l, n, bytes);
+                                    },
+                                .drained = {},
+                                .closed = [this, n](const std::string&) { drop(n); }});
+      links_[n] = std::move(link);
+    });
+    address_ = listener_->address().text();
+  }
+  void read(const std::shared_ptr<Link>& l, int n, std::string_view bytes) {
+    while (!bytes.empty() && links_.count(n) > 0) {
+      bytes.remove_prefix(l->reader.take(bytes));
+      if (l->reader.state() != http1::Reader::State::complete) return;
+      const http1::Message request = l->reader.message();
+      l->reader.next();
+      const Reply reply = on_(request, n);
+      if (links_.count(n) == 0) return;
+      if (!reply.bytes.empty()) l->stream->write(reply.bytes);
+      if (reply.then != Reply::Then::keep) l->stream->close(reply.then == Reply::Then::abort), drop(n);
+    }
+  }
+  void drop(int n) {
+    const auto it = links_.find(n);
+    if (it == links_.end()) return;
+    loop_.defer([keep = it->second] {});
+    links_.erase(it);
+  }
+  loop::Loop& loop_;
+  On on_;
+  std::string address_;
+  std::unique_ptr<net::Listener> listener_;
+  std::map<int, std::shared_ptr<Link>> links_;
+};
+
+struct Call {
+  std::string endpoint, path, id, body, budget;
+  int connection;
+};
+
+inline std::string settings_json(
+    const std::string& family_extra = R"("BundleMax":[20,1],"RoutesApart":[true,false])") {
+  return R"({"Classes":[{"Name":"status","Points":1,"LateWorth":0,"Target":1000000,"Deadline":6000000,)"
+         R"("Idempotency":"read_like"},{"Name":"order","Points":3,"LateWorth":0.3,"Target":2000000,)"
+         R"("Deadline":12000000,"Idempotency":"non_idempotent"}],)"
+         R"("Tenants":[{"Name":"acme","QuotaPerS":50}],"FailureDomains":["east"],"HostTypes":["big","small"],)"
+         R"("FamilyInfo":{"Workers":8,"Decay":"halves",)" +
+         family_extra +
+         R"(},"Limits":{"OpenCap":50,"MaxAttempts":8,"Cancelling":true,"SecondCopies":true,)"
+         R"("ConnectTimeout":500000,"ConnIdle":2000000,"MaxRetryAfter":2000000,"Peers":true},)"
+         R"("Rules":{"DrainGrace":1000000,"AnswerSlack":20000,"MustAskIn":10000000},)"
+         R"("Discovery":"subscribe","Tick":5000,"GroupSize":1,"Rank":0,"Locality":"east"})";
+}
+
+class World {
+ public:
+  World() {
+    char folder[] = "/tmp/platform-test-XXXXXX";
+    state = mkdtemp(folder);
+    for (int i = 0; i < 2; i++) discoveries.push_back(make_discovery());
+  }
+  ~World() {
+    relay.reset();
+    loop.run_once(0);
+    std::filesystem::remove_all(state);
+  }
+
+  // An endpoint that answers 200 unless `answers` says otherwise.
+  void add(const std::string& name, int group, const std::string& type = "small") {
+    endpoints[name] = {group, type, "ready",
+                       std::make_unique<Server>(loop, [this, name](const http1::Message& m, int n) {
+                         const auto field = [&](const char* f) {
+                           const auto* v = m.find(f);
+                           return v == nullptr ? std::string() : *v;
+                         };
+                         calls.push_back({name, m.target, field("x-call-id"), m.body, field("x-budget"), n});
+                         if (const auto it = answers.find(name); it != answers.end())
+                           return it->second(calls.back());
+                         return Server::Reply{ok(calls.back())};
+                       })};
+  }
+  static std::string ok(const Call& call) {
+    if (call.path == "/inbox") return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::string body;
+    for (const auto& id : ids_of(call)) body += id + " ok\r\n";
+    return http1::response(200, {}, body, false);
+  }
+  static std::vector<std::string> ids_of(const Call& call) {
+    std::vector<std::string> ids;
+    for (std::size_t at = 0; at < call.body.size();) {
+      const auto end = call.body.find("\r\n", at);
+      const auto head = call.body.substr(at, end - at);
+      ids.push_back(head.substr(0, head.find(' ')));
+      at = end + 2 + std::stoul(head.substr(head.rfind(' ') + 1)) + 2;
+    }
+    return ids;
+  }
+  std::string list(bool whole) const {
+    std::string text = R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" +
+                       (whole ? "true" : "false") + R"(,"endpoints":[)";
+    bool first = true;
+    for (const auto& [name, e] : endpoints) {
+      if (e.status == "gone" && whole) continue;
+      text += (first ? "" : ",") + (R"({"name":")" + name) + R"(","address":")" + e.server->address() +
+              R"(","zone":"east","type":")" + e.type + R"(","group":)" + std::to_string(e.group) +
+              R"(,"status":")" + e.status + R"(","weight":1.0,"since_ms":0})";
+      first = false;
+    }
+    return text + "]}";
+  }
+  void change(const std::string& name, const std::string& status) {
+    endpoints.at(name).status = status;
+    index++;
+    for (auto& [where, connection] : std::exchange(watches, {}))
+      where->write(connection, http1::response(200, {}, list(false), false));
+  }
+
+  std::string config(bool known = true) const {
+    return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discoveries[discovery]->address() +
+           R"(","state":")" + state + R"(","seed":"8c1f30d27a5be964","limits":{"sockets":128,"disk_mb":)" +
+           disk_mb + R"(},)" + (known ? R"("known":)" + list(true) + "," : std::string()) + R"("settings":)" +
+           settings + "}";
+  }
+  void start(bool known = true) {
+    relay = std::make_unique<Relay>(loop, read_config(config(known), 0),
+                                    [this](const char* event, const std::string& text) {
+                                      log.push_back(std::string(event) + ": " + text);
+                                    });
+  }
+  // As SIGKILL: nothing is written any more, nothing is said.
+  void kill() {
+    relay.reset();
+    loop.run_once(0);
+  }
+  bool until(const std::function<bool()>& what, Time within = 8'000'000) {
+    const Time end = loop::monotonic_now() + within;
+    while (!what()) {
+      if (loop::monotonic_now() > end) return false;
+      loop.run_once(5'000);
+    }
+    return true;
+  }
+  std::size_t called(const std::string& id) const {
+    std::size_t n = 0;
+    for (const auto& c : calls) {
+      n += c.path == "/inbox" && c.id == id;
+      if (c.path != "/inbox")
+        for (const auto& i : ids_of(c)) n += i == id;
+    }
+    return n;
+  }
+  bool noticed(const std::string& text) const {
+    return std::any_of(notices.begin(), notices.end(),
+                       [&](const std::string& n) { return n.find(text) != std::string::npos; });
+  }
+  bool logged(const std::string& text) const {
+    return std::any_of(log.begin(), log.end(),
+                       [&](const std::string& n) { return n.find(text) != std::string::npos; });
+  }
+
+  struct Listed {
+    int group;
+    std::string type, status;
+    std::unique_ptr<Server> server;
+  };
+  loop::Loop loop;
+  std::string state, disk_mb = "3", settings = settings_json();
+  int index = 1;
+  std::size_t discovery = 0;  // that the configuration names
+  std::vector<std::unique_ptr<Server>> discoveries;
+  std::map<std::string, Listed> endpoints;
+  std::map<std::string, std::function<Server::Reply(const Call&)>> answers;
+  std::vector<Call> calls;
+  std::vector<std::string> notices, log;
+  std::vector<std::pair<Server*, int>> watches;  // that wait
+  int outcome_status = 204, asked = 0;
+  std::unique_ptr<Relay> relay;
+
+ private:
+  std::unique_ptr<Server> make_discovery() {
+    const std::size_t place = discoveries.size();
+    return std::make_unique<Server>(loop, [this, place](const http1::Message& m, int n) -> Server::Reply {
+      if (m.target == "/v1/outcomes") {
+        if (outcome_status == 204) notices.push_back(m.body);
+        return {http1::response(outcome_status, {}, {}, false)};
+      }
+      asked++;
+      if (m.target == "/catalog/members") return {http1::response(200, {}, list(true), false)};
+      const auto after = std::stoi(m.target.substr(m.target.find("after=") + 6));
+      const bool now = m.target.find("wait_ms=0") != std::string::npos;
+      if (after < index) return {http1::response(200, {}, list(false), false)};
+      if (now)
+        return {http1::response(
+            200, {}, R"({"index":)" + std::to_string(index) + R"(,"snapshot":false,"endpoints":[]})", false)};
+      watches.emplace_back(discoveries[place].get(), n);
+      return {};
+    });
+  }
+};
+
+// A client's connection: what is written on it, and the answers.
+class Client {
+ public:
+  explicit Client(World& world) : world_(world) {
+    stream_ = std::make_unique<net::TcpStream>(
+        world.loop, world.relay->address(), 1'000'000,
+        net::Stream::Handlers{.connected = {},
+                              .data =
+                                  [this](std::string_view bytes) {
+                                    while (!bytes.empty()) {
+                                      bytes.remove_prefix(reader_.take(bytes));
+                                      if (reader_.state() != http1::Reader::State::complete) return;
+                                      answers.push_back(reader_.message());
+                                      reader_.next();
+                                    }
+                                  },
+                              .drained = {},
+                              .closed = [this](const std::string&) { closed = true; }});
+  }
+  void write(const std::string& bytes) { stream_->write(bytes); }
+  void hand_in(const std::string& id, const std::string& cls = "status", int dest = 7,
+               const std::string& budget = "6.0", const std::string& body = "hello") {
+    write(request(id, cls, dest, budget, body));
+  }
+  static std::string request(const std::string& id, const std::string& cls = "status", int dest = 7,
+                             const std::string& budget = "6.0", const std::string& body = "hello") {
+    return http1::request("POST", "/" + cls, "backend.local",
+                          {{"X-Call-Id", id},
+                           {"X-Caller", "acme"},
+                           {"X-Budget", budget},
+                           {"X-Route-To", "dest=" + std::to_string(dest)}},
+                          body);
+  }
+  void close() { stream_->close(); }
+  // The status of the next answer; 0: closed without one, -1: nothing came.
+  int status() {
+    const bool came = world_.until([&] { return answers.size() > read_ || closed; });
+    if (answers.size() > read_) return answers[read_++].status;
+    return came ? 0 : -1;
+  }
+  std::vector<http1::Message> answers;
+  bool closed = false;
+
+ private:
+  World& world_;
+  std::unique_ptr<net::TcpStream> stream_;
+  http1::Reader reader_{http1::Reader::Side::responses};
+  std::size_t read_ = 0;
+};
+
+}  // namespace cedarplank::platform::testing
