--- a/tests/journal_service_test.cpp
+++ b/tests/journal_service_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "journal/keeper.hpp"
+#include "node/clock.hpp"
 #include "service.hpp"
 #include "store/log.hpp"
 
