--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -34,6 +34,13 @@
   return std::stoull(text, nullptr, 16);
 }
 
+// A log of whole segments, each with room for a body of 64 KiB, needs so much to move on in.
+double disk(const Value& v, const std::string& path) {
+  const double n = as_number(v, path);
+  if (!(n >= 1) || n > 1e6) malformed(path, "must be 1 or more");
+  return n;
+}
+
 double positive(const Value& v, const std::string& path) {
   const double n = as_number(v, path);
   if (!(n > 0) || n > 1e9) malformed(path, "must be above 0");
@@ -59,7 +66,7 @@
     const std::string at = path + ".limits";
     as_object(*limits, at);
     c.limits.sockets = static_cast<std::size_t>(get(*limits, "sockets", at, positive, 1024.0));
-    c.limits.disk = static_cast<std::uint64_t>(get(*limits, "disk_mb", at, positive, 3.0) * 1e6);
+    c.limits.disk = static_cast<std::uint64_t>(get(*limits, "disk_mb", at, disk, 3.0) * 1e6);
   }
   if (find(d, "peer_listen") != nullptr) c.peer_listen = get(d, "peer_listen", path, address);
   if (find(d, "peers_all") != nullptr) c.peers_all = get(d, "peers_all", path, address);
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint64_t kMostSegment = 4 * 1024 * 1024;
 constexpr std::uint64_t kSegments = 24;
 constexpr std::size_t kSpare = 1;
+constexpr std::uint64_t kFewestFiles = 6;
+constexpr std::size_t kRecordMore = 2048;  // bytes of a message's record beside its body
 
 }  // namespace
 
@@ -23,9 +25,9 @@
 store::LogSettings Journal::log_settings(std::uint64_t disk) {
   store::LogSettings s;
   s.sync = false;
+  const std::uint64_t all = disk * 95 / 100;
   s.segment = std::clamp(disk / kSegments / 512 * 512, kLeastSegment, kMostSegment);
-  const std::uint64_t files = disk * 95 / 100 / s.segment;
-  s.segments_max = static_cast<std::size_t>(std::max<std::uint64_t>(files, 4) - kSpare - 1);
+  s.segments_max = static_cast<std::size_t>(std::max(all / s.segment, kFewestFiles) - kSpare - 1);
   s.spare_max = kSpare;
   s.record_max = static_cast<std::size_t>(s.segment - store::Log::kHead - store::Log::kSegmentHead);
   return s;
@@ -148,8 +150,9 @@
   }
 }
 
-bool Journal::room() const {
-  return !keeper_->failed() && log_->segments() <= log_settings_.segments_max * 2 / 3 &&
+bool Journal::room(std::size_t body) const {
+  return !keeper_->failed() && body + kRecordMore <= log_settings_.record_max &&
+         log_->segments() <= log_settings_.segments_max * 2 / 3 &&
          image().bytes() < log_settings_.segment * log_settings_.segments_max / 3;
 }
 
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -37,8 +37,9 @@
   const journal::Image& image() const { return keeper_->image(); }
   // All that was written since survives the process after this; what waited for it goes on.
   void commit();
-  // Whether more may be taken on: half of the room is for what finishes what was taken.
-  bool room() const;
+  // Whether a message with so large a body may be taken on: a third of the room is for what finishes what
+  // was.
+  bool room(std::size_t body) const;
   std::uint64_t bytes() const { return keeper_->written(); }
 
   // How a bound is shared out: bytes a segment, and how many.
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -188,7 +188,7 @@
   if (core_->stopping()) return answer(503, "the relay is stopping");
   if (destinations_.count(in.message.destination) == 0)
     return answer(503, "no list has shown this destination");
-  if (!journal_->room()) return answer(503, "the journal has no room now");
+  if (!journal_->room(in.message.body.size())) return answer(503, "the journal has no room now");
   const MessageId id = next_id_;
   std::string name = std::move(in.id);
   if (core_->take(loop_.refresh(), id, std::move(in.message)) != relay::Core::Taken::yes)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -437,6 +437,30 @@
   EXPECT_GE(called("m-4"), 1u);
 }
 
+TEST_F(Platform, TheJournalsFilesFitTheirDisk) {
+  for (const std::uint64_t disk : {1'000'000ull, 3'000'000ull, 50'000'000ull}) {
+    const auto s = Journal::log_settings(disk);
+    // All segments, the spare, and one being made.
+    EXPECT_LE((s.segments_max + s.spare_max + 1) * s.segment, disk) << disk;
+    EXPECT_GE(s.segments_max, 4u);
+    EXPECT_EQ(s.segment % 512, 0u);
+  }
+  EXPECT_GE(Journal::log_settings(3'000'000).record_max, 64u * 1024 + 2048);
+  disk_mb = "1";
+  serve();
+  Client c(*this);
+  for (int i = 0; i < 300; i++) {
+    c.hand_in("m-" + std::to_string(i), "status", 7, "6", std::string(i % 10 == 0 ? 60'000 : 500, 'x'));
+    const int status = c.status();
+    ASSERT_TRUE(status == 202 || status == 200 || status == 503) << status;
+  }
+  EXPECT_TRUE(until([&] { return relay->held() == 0; }));
+  EXPECT_EQ(fate("m-last"), "delivered");
+  std::uint64_t used = 0;
+  for (const auto& e : std::filesystem::directory_iterator(state)) used += (e.file_size() + 511) / 512 * 512;
+  EXPECT_LE(used, 1'000'000u);
+}
+
 TEST_F(Platform, TheJournalStaysWithinItsDiskWhateverIsHandedIn) {
   settings = settings_json();
   settings.replace(settings.find("\"OpenCap\":50"), 12, "\"OpenCap\":500");
@@ -487,6 +511,7 @@
     return std::string();
   };
   EXPECT_EQ(complaint("\"sockets\":128", "\"sockets\":-1"), "config.limits.sockets: must be above 0");
+  EXPECT_EQ(complaint("\"disk_mb\":3", "\"disk_mb\":0.2"), "config.limits.disk_mb: must be 1 or more");
   EXPECT_EQ(complaint("\"Workers\":8", "\"Workers\":\"8\""),
             "config.settings.FamilyInfo.Workers: must be an integer");
   EXPECT_EQ(complaint("\"status\":\"ready\"", "\"status\":\"up\""),
