--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -360,7 +360,7 @@
 }
 
 bool seconds_of(std::string_view text, std::int64_t& us) {
-  constexpr std::int64_t kMost = 3'600'000'000;
+  constexpr std::int64_t kMost = 172'800'000'000;  // two days
   const auto point = text.find('.');
   const auto whole = text.substr(0, point);
   const auto part = point == std::string_view::npos ? std::string_view() : text.substr(point + 1);
--- a/src/http1/message.hpp
+++ b/src/http1/message.hpp
@@ -97,8 +97,8 @@
 std::string response(int status, const std::vector<Field>& fields, std::string_view body, bool close);
 const char* reason_phrase(int status);
 
-// A number of seconds as headers give it, whole or decimal (digits, at most one point); in us, at most an
-// hour. False: anything else.
+// A number of seconds as headers give it, whole or decimal (digits, at most one point); in us, at most two
+// days. False: anything else.
 bool seconds_of(std::string_view text, std::int64_t& us);
 std::string seconds_text(std::int64_t us);  // in milliseconds' steps, rounded up
 
--- a/src/platform/semantics.cpp
+++ b/src/platform/semantics.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kMostId = 128;  // bytes
+constexpr Time kMostBudget = 86'400'000'000;
 
 // Ids go into lines of bulk calls, one word each.
 bool word(const std::string& text) {
@@ -89,6 +90,9 @@
   const auto* budget = request.find("x-budget");
   if (budget == nullptr || !http1::seconds_of(*budget, m.time_left) || m.time_left <= 0)
     return Unfit{400, "X-Budget: a positive number of seconds is needed"};
+  // Guards against clients that write no deadline but a number as long as they please: cut to the class's own
+  // deadline, their messages were taken on and sent.
+  if (m.time_left > kMostBudget) return Unfit{400, "X-Budget: more than a day is no message's time"};
   const auto* route = request.find("x-route-to");
   if (route == nullptr || !destination_of(*route, m.destination))
     return Unfit{400, "X-Route-To: dest=NUMBER is needed"};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -222,6 +222,8 @@
       {with("X-Budget: 6.0", "X-Budget: -1"), 400},
       {with("X-Budget: 6.0", "X-Budget: 0"), 400},
       {with("X-Budget: 6.0", "X-Budget: nan"), 400},
+      {with("X-Budget: 6.0", "X-Budget: 86400.5"), 400},
+      {with("X-Budget: 6.0", "X-Budget: 99999999999999999999999"), 400},
       {with("X-Call-Id: bad\r\n", ""), 400},
       {with("X-Call-Id: bad", "X-Call-Id: two words"), 400},
       {with("Content-Length: 5", "Content-Length: -5"), 400},
