Platform: a full table in which all have just written is gone through once, not for ever

Cause: read again before landing: Clients::make_room, as mended for the crowd, set back the time of a victim with unread bytes and looked again; where all had some and none had handed in, that never ended and the relay hung. Change: the candidates are sorted once by standing and time, and each is looked at once.

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace cedarplank::platform {
 namespace {
@@ -74,27 +75,25 @@
   return recv(c.stream->descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-// One without an open request gives way, of those that stand lowest the longest silent one.
+// One without an open request gives way, of those that stand lowest the longest silent one. Each is looked at
+// once: guards against a full table in which all have just written, where looking again would never end.
 bool Clients::make_room() {
-  while (all_.size() >= most_) {
-    ClientPtr victim;
-    std::pair<int, Time> least;
-    for (const auto& [n, c] : all_) {
-      if (c->open) continue;
-      const std::pair at(standing(*c), c->since);
-      if (!victim || at < least) victim = c, least = at;
-    }
-    if (!victim) return false;
+  if (all_.size() < most_) return true;
+  std::vector<std::tuple<int, Time, Number>> order;
+  for (const auto& [n, c] : all_)
+    if (!c->open) order.emplace_back(standing(*c), c->since, n);
+  std::sort(order.begin(), order.end());
+  for (const auto& [at, since, n] : order) {
+    const ClientPtr c = all_.at(n);
     // What it has just written is read first: closed on it, its message would be lost.
-    if (victim->asked && !victim->leaving && unread(*victim)) {
-      victim->since = loop_.now();
-      if (least.first >= 3) return false;
-      continue;
+    if (!c->asked || c->leaving || !unread(*c)) {
+      counts_.evicted++;
+      drop(c);
+      return true;
     }
-    counts_.evicted++;
-    drop(victim);
+    if (at >= 3) break;  // those behind it have been of use as lately
   }
-  return true;
+  return false;
 }
 
 void Clients::data(const ClientPtr& c, std::string_view bytes) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -323,6 +323,24 @@
   }
 }
 
+// A full table in which all had just written was gone through without end.
+TEST_F(Platform, AFullTableInWhichAllHaveJustWrittenTurnsTheNextOneAway) {
+  serve();
+  std::vector<std::unique_ptr<Client>> clients;
+  const std::string ask = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (int i = 0; i < 62; i++) {
+    clients.push_back(std::make_unique<Client>(*this));
+    clients.back()->write(ask);
+    EXPECT_EQ(clients.back()->status(), 200);
+  }
+  const Client next(*this);
+  for (auto& c : clients) c->write(ask);
+  loop.run_once(0);
+  int answered = 0;
+  for (auto& c : clients) answered += c->status() == 200;
+  EXPECT_GE(answered, 61);
+}
+
 // Clients that ask once a connection and hold it used up their third of the descriptors on it. Ended with
 // their answers, they were no better: the usual ones lost theirs too, and a relay told to end got nothing
 // more.
