Platform: a full table closes upon no client whose request has come in part

Clients::make_room looked for unread bytes, but a request already read in part left none, and its connection could give way under it: its client would have had no answer. The test of a full table did not say that the next one is turned away; `asked` said what `requests` says. Not changed, looked at: reason phrases here and in the HTTP/2 front (the installed library would need src/http1 for six lines), the handlers of clients' and endpoints' connections, the boilerplate in tests.

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -14,7 +14,7 @@
 constexpr Time kLeaveWithin =
     200'000;  // for the client to read a last answer, what it sends being left unread
 constexpr Time kSweepEvery = 50'000;
-constexpr Time kSilent = 150'000;               // from connecting: by then a client that asks has asked
+constexpr Time kSilent = 150'000;               // from connecting or a first byte: by then a client has asked
 constexpr Time kIdle = 2'000'000;               // after it a connection may be closed, by the protocol
 constexpr Time kOnce = 300'000;                 // by then a client that uses its connection again has done so
 constexpr std::size_t kCrowded = 3;             // a third of the connections that there may be
@@ -66,11 +66,15 @@
 int Clients::standing(const Client& c) const {
   const Time quiet = loop_.now() - c.since;
   if (c.leaving) return -1;  // it has its last answer
-  if (!c.asked) return quiet >= kSilent ? 0 : 3;
+  if (c.requests == 0) return quiet >= kSilent ? 0 : 3;
   return !c.handed_in ? 1 : quiet >= kIdle ? 2 : 4;
 }
 
-bool Clients::unread(const Client& c) {
+// A request of one that has asked before has come in part, or waits to be read: closed on it, a message would
+// be lost. One that stops halfway is not waited for.
+bool Clients::asking(const Client& c) const {
+  if (c.requests == 0 || c.leaving) return false;
+  if (c.reader.state() != http1::Reader::State::waiting) return loop_.now() - c.since < kSilent;
   char byte = 0;
   return recv(c.stream->descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
@@ -85,8 +89,7 @@
   std::sort(order.begin(), order.end());
   for (const auto& [at, since, n] : order) {
     const ClientPtr c = all_.at(n);
-    // What it has just written is read first: closed on it, its message would be lost.
-    if (!c->asked || c->leaving || !unread(*c)) {
+    if (!asking(*c)) {
       counts_.evicted++;
       drop(c);
       return true;
@@ -108,7 +111,7 @@
 
 void Clients::read(const ClientPtr& c, std::string_view bytes) {
   using State = http1::Reader::State;
-  if (c->reader.state() == State::waiting && c->asked) c->since = loop_.now();
+  if (c->reader.state() == State::waiting && c->requests > 0) c->since = loop_.now();
   const auto taken = c->reader.take(bytes);
   if (c->reader.state() == State::broken) return turn_away(c, c->reader.status(), c->reader.problem());
   if (c->reader.expects_continue() && !c->continued) {
@@ -117,7 +120,7 @@
   }
   if (c->reader.state() != State::complete) return;
   c->ahead.assign(bytes.substr(taken));
-  c->open = c->asked = true, c->requests++, c->continued = false;
+  c->open = true, c->requests++, c->continued = false;
   counts_.requests++;
   host_.request(c->number, c->reader.message());
 }
@@ -188,7 +191,7 @@
   std::vector<ClientPtr> once;
   for (const auto& [n, c] : all_) {
     const bool idle = !c->open && !c->leaving && c->reader.state() == http1::Reader::State::waiting;
-    if (idle && c->requests == 1 && loop_.now() - c->since >= kOnce && !unread(*c)) once.push_back(c);
+    if (idle && c->requests == 1 && loop_.now() - c->since >= kOnce && !asking(*c)) once.push_back(c);
   }
   counts_.ended_once += once.size();
   for (const auto& c : once) drop(c);
@@ -200,7 +203,7 @@
   for (const auto& [n, c] : all_) {
     if (c->open || c->leaving) continue;
     const bool within = c->reader.state() != http1::Reader::State::waiting;
-    const Time most = !c->asked ? kFirstWithin : within ? kRequestWithin : kIdleLong;
+    const Time most = c->requests == 0 ? kFirstWithin : within ? kRequestWithin : kIdleLong;
     if (now - c->since > most) late.push_back(c);
   }
   if (!last_ones_ && all_.size() > most_ / kCrowded) end_once();
--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -48,11 +48,10 @@
     Number number = 0;
     std::unique_ptr<net::TcpStream> stream;
     http1::Reader reader{http1::Reader::Side::requests};
-    std::string ahead;       // bytes behind the request that is open
-    bool open = false;       // a request waits for its answer
-    bool asked = false;      // has had a whole request
-    bool handed_in = false;  // has had a message taken
-    std::uint64_t requests = 0;
+    std::string ahead;           // bytes behind the request that is open
+    bool open = false;           // a request waits for its answer
+    std::uint64_t requests = 0;  // that have come whole
+    bool handed_in = false;      // has had a message taken
     bool leaving = false;
     bool continued = false;  // "100 Continue" was said
     Time since = 0;          // connected, last answered, or the first byte of the request that is coming
@@ -61,7 +60,7 @@
   void accepted(net::Fd fd);
   bool make_room();
   int standing(const Client& c) const;
-  static bool unread(const Client& c);
+  bool asking(const Client& c) const;
   void end_once();
   void data(const ClientPtr& c, std::string_view bytes);
   void read(const ClientPtr& c, std::string_view bytes);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -323,8 +323,9 @@
   }
 }
 
-// A full table in which all had just written was gone through without end.
-TEST_F(Platform, AFullTableInWhichAllHaveJustWrittenTurnsTheNextOneAway) {
+// A full table in which all had just written was gone through without end, and one whose request had come in
+// part was closed upon.
+TEST_F(Platform, AFullTableIsGoneThroughOnceAndNoOneIsClosedUponWhileItAsks) {
   serve();
   std::vector<std::unique_ptr<Client>> clients;
   const std::string ask = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -333,12 +334,15 @@
     clients.back()->write(ask);
     EXPECT_EQ(clients.back()->status(), 200);
   }
-  const Client next(*this);
-  for (auto& c : clients) c->write(ask);
-  loop.run_once(0);
-  int answered = 0;
-  for (auto& c : clients) answered += c->status() == 200;
-  EXPECT_GE(answered, 61);
+  for (const std::string& part : {std::string(), ask.substr(0, 9)}) {
+    for (auto& c : clients) c->write(part);
+    if (!part.empty()) until([&] { return false; }, 20'000);  // read
+    Client next(*this);
+    for (auto& c : clients) c->write(ask.substr(part.size()));
+    loop.run_once(0);
+    for (auto& c : clients) EXPECT_EQ(c->status(), 200);
+    EXPECT_TRUE(until([&] { return next.closed; }));
+  }
 }
 
 // Clients that ask once a connection and hold it used up their third of the descriptors on it. Ended with
