Net: a paused stream whose peer has gone ends, where the loop spun on it

Requests turned away unread pause their stream for 200 ms (Clients::leave), and poll(2) tells of POLLHUP and POLLERR whatever is asked for; TcpStream::ready read nothing and came back at once. Ruled out: slow callbacks, timers and deferred calls (none over 20 ms), CPU of the module. Change: a paused stream that poll tells has gone ends. Test: a paused stream hears of a reset; fails without it.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -141,6 +141,9 @@
     if (*alive) update_events();
     return;
   }
+  // Told by poll(2) whatever is asked for, and at every look until it is dealt with: a paused stream has no
+  // other way to hear that its peer has gone. Guards against a loop that spins on it.
+  if (paused_ && !finishing_ && (revents & (POLLHUP | POLLERR))) return end("closed by the peer");
   if (revents & (POLLIN | POLLHUP | POLLERR)) read_some();
   if (*alive && (revents & POLLOUT)) flush();
   if (*alive) update_events();
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -165,6 +165,29 @@
   EXPECT_EQ(client.flushed(), client.queued());
 }
 
+// poll(2) tells of a peer that has gone whatever is asked for: a stream that isn't read hears of it, else the
+// loop would spin until it is read again.
+TEST(Net, APausedStreamHearsThatItsPeerHasGone) {
+  loop::Loop loop;
+  std::unique_ptr<net::TcpStream> server;
+  bool closed = false;
+  net::Listener listener(loop, net::Address::parse("127.0.0.1:0"), [&](net::Fd fd) {
+    server = std::make_unique<net::TcpStream>(
+        loop, std::move(fd),
+        net::Stream::Handlers{.connected = {}, .data = {}, .drained = {}, .closed = [&](const std::string&) {
+                                closed = true;
+                              }});
+    server->pause_reading(true);
+  });
+  net::TcpStream client(loop, listener.address(), 1'000'000, net::Stream::Handlers{});
+  while (!server) loop.run_once(5'000);
+  client.write("unread");
+  client.close(true);
+  const auto end = loop::monotonic_now() + 2'000'000;
+  while (!closed && loop::monotonic_now() < end) loop.run_once(5'000);
+  EXPECT_TRUE(closed);
+}
+
 TEST(Net, ARefusedConnectionIsTold) {
   loop::Loop loop;
   std::string why;
