Platform: a call's bytes are made when its connection is up, longest wait first

Ruled out: late or unaccepted notices, spoilt answers, silent client connections. Change: bytes are made once the connection is up, of the messages that are left; a call whose last byte has not left goes anew without one that is over; the message waited for longest stands first; X-Budget counts from when it is written. Where the settings bar second copies, a message given up stays with its call, which the others keep open (Transport::Recalled::kept). A test that went by the order of lines now goes by their ids.

--- a/src/platform/endpoints.cpp
+++ b/src/platform/endpoints.cpp
@@ -55,10 +55,13 @@
     if (fresh) bundles.emplace_back();
     bundles[it->second].push_back(std::move(call));
   }
-  for (auto& bundle : bundles) start(std::move(bundle));
+  counts_.calls += bundles.size();
+  for (auto& bundle : bundles) start(std::move(bundle), loop_.now());
 }
 
-void Endpoints::start(std::vector<relay::CallOrder> bundle) {
+// The message that is waited for longest stands first. Guards against a call whose first message is over
+// before the others are: its receiver may take the whole call for given up, and its answer for none.
+void Endpoints::start(std::vector<relay::CallOrder> bundle, Time ordered) {
   const EndpointId endpoint = bundle.front().endpoint;
   const auto at = addresses_.find(endpoint);
   LinkPtr link;
@@ -66,7 +69,6 @@
     link = idle_link(endpoint, at->second);
     if (!link && make_room()) link = open(endpoint, at->second);
   }
-  counts_.calls++;
   if (!link) {
     const char* why = at == addresses_.end() ? "its endpoint has left the list" : "no descriptor is left";
     // Not from within the core's own round.
@@ -76,49 +78,46 @@
     });
     return;
   }
-  Time budget = 0;
-  std::vector<Called> called;
-  for (const auto& call : bundle) {
-    budget = std::max(budget, call.timeout);
-    called.push_back({call.message->owner, call.message->idempotency_key, call.message->body});
-    calls_[call.id] = link;
-  }
-  std::string request = called.size() == 1 ? single_call(called.front(), budget, link->address)
-                                           : bulk_call(called, budget, link->address);
-  link->members = std::move(bundle), link->size = called.size(), link->told = false;
-  begin(link, std::move(request));
+  std::stable_sort(bundle.begin(), bundle.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.timeout, a.time_left) > std::pair(b.timeout, b.time_left);
+  });
+  for (const auto& call : bundle) calls_[call.id] = link;
+  link->size = bundle.size(), link->members = std::move(bundle);
+  link->ordered = ordered, link->told = link->begun = false;
+  if (link->up) begin(link);
 }
 
+// A call's bytes are made when its connection is up. Guards against a message that was over or given up
+// meanwhile and went along with the others of its call.
+//
 // A call runs only once its last byte has arrived, so that one goes out a moment after the others. Guards
 // against connections that the other side has given up and that show it at the next request only: whole, that
 // call would be in doubt, and a message that must not run twice lost.
-void Endpoints::begin(const LinkPtr& link, std::string request) {
-  link->first = link->stream->queued(), link->last = link->first + request.size();
-  link->request = std::move(request);
-  link->stream->write(std::string_view(link->request).substr(0, link->request.size() - 1));
-  if (link->up) hold(link);
-}
-
-void Endpoints::hold(const LinkPtr& link) {
+void Endpoints::begin(const LinkPtr& link) {
+  std::vector<Called> called;
+  for (const auto& m : link->members)
+    called.push_back({m.message->owner, m.message->idempotency_key, m.message->body});
+  const Time budget = std::max<Time>(1'000, link->members.front().timeout - (loop_.now() - link->ordered));
+  const std::string request = called.size() == 1 ? single_call(called.front(), budget, link->address)
+                                                 : bulk_call(called, budget, link->address);
+  link->size = called.size(), link->begun = true;
+  link->last = link->stream->queued() + request.size(), link->last_byte = request.back();
+  link->stream->write(std::string_view(request).substr(0, request.size() - 1));
   link->timer = loop_.after(kHoldLast, [this, link] {
     link->timer = 0;
-    link->stream->write(std::string_view(link->request).substr(link->request.size() - 1));
-    link->request = {};
+    link->stream->write({&link->last_byte, 1});
   });
 }
 
-// The call of a kept connection that broke before its last byte: on a new one, as if the kept one had been
-// found dead before. Nothing of it has run.
-bool Endpoints::move(const LinkPtr& link) {
-  const auto at = addresses_.find(link->endpoint);
-  if (!link->kept || link->request.empty() || at == addresses_.end()) return false;
+// A call of which nothing can have run, on another connection, with the messages that are left in it:
+// one whose kept connection broke before its last byte, as if that had been found dead before, or one of
+// whose messages was over by then.
+void Endpoints::move(const LinkPtr& link) {
   counts_.moved++;
-  const LinkPtr fresh = open(link->endpoint, at->second);
-  fresh->members = std::move(link->members), fresh->size = link->size;
-  link->members.clear(), link->size = 0;
-  for (const auto& m : fresh->members) calls_[m.id] = fresh;
-  begin(fresh, std::move(link->request));
-  return true;
+  auto members = std::exchange(link->members, {});
+  drop(link);  // first: its descriptor is the new one's
+  for (const auto& m : members) calls_.erase(m.id);
+  start(std::move(members), link->ordered);
 }
 
 // The one used last: the others come to their idle time sooner.
@@ -163,7 +162,7 @@
                                                                    const auto l = weak.lock();
                                                                    if (!l) return;
                                                                    l->up = true;
-                                                                   if (!l->request.empty()) hold(l);
+                                                                   if (l->size > 0) begin(l);
                                                                  },
                                                              .data =
                                                                  [this, weak](std::string_view bytes) {
@@ -181,7 +180,9 @@
   return link;
 }
 
-bool Endpoints::cannot_have_run(const Link& link) const { return link.stream->flushed() < link.last; }
+bool Endpoints::cannot_have_run(const Link& link) const {
+  return !link.begun || link.stream->flushed() < link.last;
+}
 
 void Endpoints::data(const LinkPtr& link, std::string_view bytes) {
   // Nothing was asked: noise, or a second copy of the last answer. Whatever comes next can't be told apart.
@@ -255,7 +256,7 @@
   if (link->size > 0 && !link->told) {
     if (cannot_have_run(*link)) {
       // The last byte never left: it has not run.
-      if (move(link)) return drop(link);
+      if (link->kept) return move(link);
       tell_all(link, {Outcome::connect_failed, 0, {}, why, {}});
     } else if (link->size == 1 && link->reader.first_line() == 200) {
       tell_all(link, {Outcome::served, 0, {}, "200", {}});
@@ -316,20 +317,28 @@
   const auto it = calls_.find(call);
   if (it == calls_.end()) return Recalled::sent;
   const LinkPtr link = it->second;
-  calls_.erase(it);
-  std::erase_if(link->members, [&](const auto& m) { return m.id == call; });
-  // The others of its call go on, and with them its bytes.
-  if (!link->members.empty()) return Recalled::sent;
   const bool whole = !cannot_have_run(*link), up = link->up;
-  drop(link);
+  const auto member =
+      std::find_if(link->members.begin(), link->members.end(), [&](const auto& m) { return m.id == call; });
+  // The others of its call are waited for, and their connection has to stay open. While it does, this one is
+  // out on it too, whatever we think: where that bars it from going elsewhere, it stays with them.
+  const bool over = loop_.now() >= link->ordered + member->time_left;
+  if (whole && link->members.size() > 1 && !bounds_.second_copies && !over) return Recalled::kept;
+  calls_.erase(it);
+  link->members.erase(member);
+  if (link->members.empty())
+    drop(link);
+  else if (!link->begun)
+    link->size = link->members.size();
+  else if (!whole)
+    move(link);
   return whole ? Recalled::sent : up ? Recalled::waiting : Recalled::connecting;
 }
 
 bool Endpoints::take_back(relay::CallId call) {
   const auto it = calls_.find(call);
   if (it == calls_.end()) return cancel(call) == Recalled::waiting;
-  const LinkPtr link = it->second;
-  if (link->members.size() != 1 || link->size != 1 || !cannot_have_run(*link)) return false;
+  if (!cannot_have_run(*it->second)) return false;
   cancel(call);
   return true;
 }
--- a/src/platform/endpoints.hpp
+++ b/src/platform/endpoints.hpp
@@ -27,7 +27,8 @@
   struct Bounds {
     std::size_t connections = 256;  // at once, idle ones included
     Time connect_timeout = 1'000'000;
-    Time idle = 5'000'000;  // the other side closes one that is idle for so long
+    Time idle = 5'000'000;      // the other side closes one that is idle for so long
+    bool second_copies = true;  // a message may be out on two connections
   };
   struct Counts {
     std::uint64_t calls = 0, reused = 0, opened = 0, spoilt = 0, stale = 0, moved = 0, full = 0;
@@ -58,20 +59,21 @@
     std::unique_ptr<net::TcpStream> stream;
     http1::Reader reader{http1::Reader::Side::responses};
     bool up = false;
-    std::uint64_t first = 0, last = 0;      // of the stream's bytes: where its call begins and ends
-    std::string request;                    // its call's bytes, until the last one is written
+    bool begun = false;                     // bytes of its call have been written
+    std::uint64_t last = 0;                 // of the stream's bytes: where its call ends, once begun
+    char last_byte = 0;                     // of the call, held back for a moment: see begin()
+    Time ordered = 0;                       // when its call was
     bool kept = false;                      // it has carried a call before this one
     std::vector<relay::CallOrder> members;  // messages of its call without an outcome
-    std::size_t size = 0;                   // that the call began with; 0: idle
+    std::size_t size = 0;                   // that the call has, or will begin with; 0: idle
     bool told = false;                      // the call has its outcome; the rest of the answer is to come
     Time idle_from = 0;
     loop::TimerId timer = 0;
   };
   using LinkPtr = std::shared_ptr<Link>;
-  void start(std::vector<relay::CallOrder> bundle);
-  void begin(const LinkPtr& link, std::string request);
-  void hold(const LinkPtr& link);
-  bool move(const LinkPtr& link);
+  void start(std::vector<relay::CallOrder> bundle, Time ordered);
+  void begin(const LinkPtr& link);
+  void move(const LinkPtr& link);
   LinkPtr idle_link(const EndpointId& endpoint, const std::string& address);
   bool make_room();
   LinkPtr open(const EndpointId& endpoint, const std::string& address);
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -43,7 +43,8 @@
   const auto& set = config_.settings;
   endpoints_ = std::make_unique<Endpoints>(
       loop_,
-      Endpoints::Bounds{endpoint_share(config_.limits, set.slots), set.connect_timeout, set.connection_idle},
+      Endpoints::Bounds{endpoint_share(config_.limits, set.slots), set.connect_timeout, set.connection_idle,
+                        set.second_copies},
       Endpoints::Host{.ended =
                           [this](relay::CallId call, relay::Ending ending) {
                             core_->call_ended(loop_.refresh(), call, std::move(ending));
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -233,6 +233,8 @@
     case Transport::Recalled::waiting:
       ending.outcome = Outcome::not_sent, ending.what = "no connection had room in time";
       break;
+    case Transport::Recalled::kept:
+      return;
   }
   end_call(now, it, ending);
 }
@@ -363,6 +365,7 @@
         const auto call = calls_.find(id);
         if (call->second.attempt != c->attempt) continue;
         const auto how = ports_.transport.cancel(id);
+        if (how == Transport::Recalled::kept) break;
         const bool left = how == Transport::Recalled::sent;
         end_call(now, call, {left ? Outcome::cancelled : Outcome::not_sent, 0, {}, "given up", {}});
         break;  // the set and the message may be gone
@@ -398,7 +401,8 @@
     const auto out = messages_.at(id).out;
     for (const CallId call : out) {
       const auto it = calls_.find(call);
-      const bool left = ports_.transport.cancel(call) == Transport::Recalled::sent;
+      const auto how = ports_.transport.cancel(call);
+      const bool left = how == Transport::Recalled::sent || how == Transport::Recalled::kept;
       end_call(now, it, {left ? Outcome::cancelled : Outcome::not_sent, 0, {}, "the relay stopped", {}});
     }
     const auto it = messages_.find(id);
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -65,7 +65,9 @@
 
 class Transport {
  public:
-  enum class Recalled { sent, connecting, waiting };
+  // kept: it shares its call with others that are waited for, may not go elsewhere while that is out, and
+  // ends with it.
+  enum class Recalled { sent, connecting, waiting, kept };
   virtual ~Transport() = default;
   virtual void send(const CallOrder& call) = 0;
   // Gives the call up; nothing is reported for it afterwards. Tells whether any of it may have left.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -171,9 +171,8 @@
   answers["b-1"] = [&](const Call& call) -> Server::Reply {
     if (call.path == "/inbox") return {ok(call)};
     std::string body;
-    const char* ends[] = {" ok", " later", " error"};
-    int i = 0;
-    for (const auto& id : ids_of(call)) body += id + ends[i++ % 3] + "\r\n";
+    const std::map<std::string, std::string> ends = {{"m-1", " ok"}, {"m-2", " later"}, {"m-3", " error"}};
+    for (const auto& id : ids_of(call)) body += id + ends.at(id) + "\r\n";
     return {http1::response(200, {}, body, false)};
   };
   ASSERT_EQ(a.status(), 202);
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -32,6 +32,16 @@
   bool up() const { return listener_ != nullptr; }
   void down() { listener_.reset(), links_.clear(); }
   void again() { listen(address_); }
+  // New connections stay halfway from here on: the one place in the queue is taken, and nobody is let in.
+  void shut_out() {
+    listener_.reset();
+    listen(address_, 0);
+    listener_->pause(true);
+    filler_ = std::make_unique<net::TcpStream>(loop_, net::Address::parse(address_), 60'000'000,
+                                               net::Stream::Handlers{});
+  }
+  // The next try of each, a second after its first, comes through.
+  void let_in() { listener_->pause(false); }
   void write(int connection, const std::string& bytes) { links_.at(connection)->stream->write(bytes); }
   std::size_t connections() const { return links_.size(); }
   int opened = 0;
@@ -45,22 +55,25 @@
     http1::Reader reader{http1::Reader::Side::requests};
     int requests = 0;
   };
-  void listen(const std::string& at) {
-    listener_ = std::make_unique<net::Listener>(loop_, net::Address::parse(at), [this](net::Fd fd) {
-      const int n = ++opened;
-      auto link = std::make_shared<Link>();
-      std::weak_ptr<Link> weak = link;
-      link->stream = std::make_unique<net::TcpStream>(
-          loop_, std::move(fd),
-          net::Stream::Handlers{.connected = {},
-                                .data =
-                                    [this, weak, n](std::string_view bytes) {
-                                      if (const auto l = weak.lock()) read(l, n, bytes);
-                                    },
-                                .drained = {},
-                                .closed = [this, n](const std::string&) { drop(n); }});
-      links_[n] = std::move(link);
-    });
+  void listen(const std::string& at, int backlog = 512) {
+    listener_ = std::make_unique<net::Listener>(
+        loop_, net::Address::parse(at),
+        [this](net::Fd fd) {
+          const int n = ++opened;
+          auto link = std::make_shared<Link>();
+          std::weak_ptr<Link> weak = link;
+          link->stream = std::make_unique<net::TcpStream>(
+              loop_, std::move(fd),
+              net::Stream::Handlers{.connected = {},
+                                    .data =
+                                        [this, weak, n](std::string_view bytes) {
+                                          if (const auto l = weak.lock()) read(l, n, bytes);
+                                        },
+                                    .drained = {},
+                                    .closed = [this, n](const std::string&) { drop(n); }});
+          links_[n] = std::move(link);
+        },
+        backlog);
     address_ = listener_->address().text();
   }
   void read(const std::shared_ptr<Link>& l, int n, std::string_view bytes) {
@@ -89,6 +102,7 @@
   On on_;
   std::string address_;
   std::unique_ptr<net::Listener> listener_;
+  std::unique_ptr<net::TcpStream> filler_;
   std::map<int, std::shared_ptr<Link>> links_;
 };
 
