--- a/src/platform/semantics.cpp
+++ b/src/platform/semantics.cpp
@@ -75,7 +75,7 @@
 
 }  // namespace
 
-// Also of an absolute target, which every server has to take (RFC 9112 section 3.2.2). Empty: it has none.
+// Also of an absolute one, which every server has to take (RFC 9112 section 3.2.2).
 std::string_view path_of(std::string_view target) {
   const auto scheme = target.find("://");
   if (target.substr(0, 1) != "/" && scheme != std::string_view::npos) {
@@ -107,6 +107,13 @@
   if (route == nullptr || !destination_of(*route, m.destination))
     return Unfit{400, "X-Route-To: dest=NUMBER is needed"};
   if (const auto* caller = request.find("x-caller")) m.tenant = settings::position(names.tenants, *caller);
+  // Passed on with every attempt, alone or in a line of a bulk call. Guards against repeats that the endpoint
+  // can't know for such.
+  if (request.has("idempotency-key")) {
+    const auto* key = request.find("idempotency-key");
+    if (key == nullptr || !word(*key)) return Unfit{400, "Idempotency-Key: one word is needed"};
+    m.idempotency_key = *key;
+  }
   // Another mark says that a relay died with it: that is no repeat by the client.
   const auto* again = request.find("x-again");
   m.repeat = again != nullptr && *again == "1";
@@ -116,8 +123,9 @@
 }
 
 std::string single_call(const Called& m, Time budget, const std::string& host) {
-  return http1::request("POST", "/inbox", host,
-                        {{"X-Call-Id", m.id}, {"X-Budget", http1::seconds_text(budget)}}, m.body);
+  std::vector<http1::Field> fields = {{"X-Call-Id", m.id}, {"X-Budget", http1::seconds_text(budget)}};
+  if (!m.key.empty()) fields.push_back({"Idempotency-Key", m.key});
+  return http1::request("POST", "/inbox", host, fields, m.body);
 }
 
 std::string bulk_call(const std::vector<Called>& messages, Time budget, const std::string& host) {
--- a/src/platform/semantics.hpp
+++ b/src/platform/semantics.hpp
@@ -21,8 +21,9 @@
   int status = 400;
   const char* why = "";
 };
-// Nothing: `out` is a message to be taken.
+// The path of a request's target; empty: it has none.
 std::string_view path_of(std::string_view target);
+// Nothing: `out` is a message to be taken.
 std::optional<Unfit> read_request(http1::Message& request, const settings::Tables& names, HandedIn& out);
 
 // ---- Endpoints ----
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -336,6 +336,41 @@
   EXPECT_TRUE(calls.empty());
 }
 
+// A client's key for its message goes along with every attempt, in a call of its own and in a bundle's line.
+TEST_F(Crossings, AClientsIdempotencyKeyReachesTheEndpoint) {
+  add("s-1", 7), add("b-1", 8, "big");
+  std::vector<std::string> keys;
+  endpoints.at("s-1").server = std::make_unique<Server>(loop, [&](const http1::Message& m, int) {
+    const auto* key = m.find("idempotency-key");
+    keys.push_back(key == nullptr ? "" : *key);
+    return Server::Reply{http1::response(keys.size() == 1 ? 503 : 200, {}, {}, false)};
+  });
+  start();
+  const auto message = [](const std::string& id, const std::string& key, int dest) {
+    return http1::request("POST", "/status", "backend.local",
+                          {{"X-Call-Id", id},
+                           {"X-Budget", "6"},
+                           {"X-Route-To", "dest=" + std::to_string(dest)},
+                           {"Idempotency-Key", key}},
+                          "hello");
+  };
+  Client a(*this), b(*this);
+  until([&] { return false; }, 20'000);  // connected
+  a.write(message("m-1", "k-1", 7));
+  EXPECT_EQ(a.status(), 202);
+  ASSERT_TRUE(until([&] { return keys.size() == 2; }));
+  EXPECT_EQ(keys, (std::vector<std::string>{"k-1", "k-1"}));
+  a.write(message("m-2", "k-2", 8)), b.write(message("m-3", "k-3", 8));
+  ASSERT_TRUE(until([&] { return called("m-2") == 1 && called("m-3") == 1; }));
+  if (calls[0].path == "/inbox/bulk") {
+    EXPECT_NE(calls[0].body.find("m-2 k-2 5\r\n"), std::string::npos);
+    EXPECT_NE(calls[0].body.find("m-3 k-3 5\r\n"), std::string::npos);
+  }
+  b.write(message("m-4", "two words", 7));
+  EXPECT_EQ(b.status(), 202);  // of m-3
+  EXPECT_EQ(b.status(), 400);
+}
+
 TEST_F(Crossings, AnAbsoluteTargetIsAPathToo) {
   add("s-1", 7);
   start();
