Platform: where messages stay with their call, the one with most time stands first

Endpoints::start ordered by the attempts' time-outs, and Core::time_out never gave such a call up again. Change: ordered by the time the messages have where they stay; X-Budget says so; a message that stayed is given up at its deadline. Each mend taken out fails its test.

--- a/src/platform/endpoints.cpp
+++ b/src/platform/endpoints.cpp
@@ -78,15 +78,21 @@
     });
     return;
   }
-  std::stable_sort(bundle.begin(), bundle.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.timeout, a.time_left) > std::pair(b.timeout, b.time_left);
-  });
+  std::stable_sort(bundle.begin(), bundle.end(),
+                   [this](const auto& a, const auto& b) { return waited_for(a) > waited_for(b); });
   for (const auto& call : bundle) calls_[call.id] = link;
   link->size = bundle.size(), link->members = std::move(bundle);
   link->ordered = ordered, link->told = link->begun = false;
   if (link->up) begin(link);
 }
 
+// How long a message of a call of several is waited for: where it may not go elsewhere meanwhile, as long as
+// it has time (see cancel()).
+std::pair<Time, Time> Endpoints::waited_for(const relay::CallOrder& call) const {
+  return bounds_.second_copies ? std::pair(call.timeout, call.time_left)
+                               : std::pair(call.time_left, call.timeout);
+}
+
 // A call's bytes are made when its connection is up. Guards against a message that was over or given up
 // meanwhile and went along with the others of its call.
 //
@@ -97,7 +103,9 @@
   std::vector<Called> called;
   for (const auto& m : link->members)
     called.push_back({m.message->owner, m.message->idempotency_key, m.message->body});
-  const Time budget = std::max<Time>(1'000, link->members.front().timeout - (loop_.now() - link->ordered));
+  const Time wait =
+      called.size() == 1 ? link->members.front().timeout : waited_for(link->members.front()).first;
+  const Time budget = std::max<Time>(1'000, wait - (loop_.now() - link->ordered));
   const std::string request = called.size() == 1 ? single_call(called.front(), budget, link->address)
                                                  : bulk_call(called, budget, link->address);
   link->size = called.size(), link->begun = true;
--- a/src/platform/endpoints.hpp
+++ b/src/platform/endpoints.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http1/message.hpp"
@@ -72,6 +73,7 @@
   };
   using LinkPtr = std::shared_ptr<Link>;
   void start(std::vector<relay::CallOrder> bundle, Time ordered);
+  std::pair<Time, Time> waited_for(const relay::CallOrder& call) const;
   void begin(const LinkPtr& link);
   void move(const LinkPtr& link);
   LinkPtr idle_link(const EndpointId& endpoint, const std::string& address);
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -234,6 +234,9 @@
       ending.outcome = Outcome::not_sent, ending.what = "no connection had room in time";
       break;
     case Transport::Recalled::kept:
+      // Waited for until its message's time is up; then it is given up for good.
+      it->second.times_out = std::max(messages_.at(it->second.message).deadline, now + settings_.tick);
+      timeouts_.insert({it->second.times_out, id});
       return;
   }
   end_call(now, it, ending);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -238,6 +238,27 @@
   }
 }
 
+// A message that shares its call and may not go elsewhere meanwhile is waited for until its time is up, and
+// then given up for good: its call must not be out, and hold its slot, for ever.
+TEST(Core, AMessageThatStaysWithItsCallIsGivenUpAtItsDeadline) {
+  Bench b;
+  b.how = Transport::Recalled::kept;
+  b.take(1, 1), b.round();
+  b.act({action::Send{1, "e", 50 * kMs}});
+  b.now += 50 * kMs;
+  b.round(), b.round();
+  EXPECT_EQ(b.cancelled.size(), 1u);
+  EXPECT_TRUE(b.script->all<event::AttemptEnded>().empty());
+  EXPECT_EQ(b.core->held(), 1u);
+  const Time up = b.core->next_due();
+  EXPECT_GT(up, b.now + kS / 2);
+  b.how = Transport::Recalled::sent;
+  b.now = up;
+  b.round(), b.round();
+  EXPECT_EQ(b.cancelled.size(), 2u);
+  EXPECT_EQ(b.script->all<event::AttemptEnded>().at(0).outcome, Outcome::timeout);
+}
+
 TEST(Core, AToldWaitOrADrainCallsBackWhatHasNotLeft) {
   Bench b;
   b.take(1), b.take(2), b.round();
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -113,6 +113,17 @@
   EXPECT_LE(std::stod(calls[0].budget), 2.0);
 }
 
+// Where a message stays with its call until its time is up, that time counts and not the attempt's.
+TEST_F(EndpointsCrossings, WhereMessagesStayWithTheirCallTheOneWithMostTimeStandsFirst) {
+  add("s-1", 7);
+  open(false);
+  order(1, "m-long-try", 2'000'000, 1, 2'500'000), order(2, "m-most-time", 500'000, 1, 6'000'000);
+  transport->flush();
+  ASSERT_TRUE(until([&] { return ends.size() == 2; }));
+  EXPECT_EQ(ids_of(calls.at(0)), (std::vector<std::string>{"m-most-time", "m-long-try"}));
+  EXPECT_GT(std::stod(calls[0].budget), 5.0);
+}
+
 // One of a call is given up, the others are waited for: while their connection is open, it is out there too.
 TEST_F(EndpointsCrossings, WhereNoSecondCopyMayBeOutAMessageStaysWithItsCall) {
   for (const bool second_copies : {false, true}) {
