--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -152,8 +152,49 @@
   }
 }
 
+// An answer that is there before the call is whole is none to it, whatever it says: nothing has run.
+TEST_F(EndpointsCrossings, AnAnswerAheadOfTheLastByteServesNothing) {
+  std::vector<std::unique_ptr<net::TcpStream>> accepted;
+  net::Listener listener(loop, net::Address::parse("127.0.0.1:0"), [&](net::Fd fd) {
+    accepted.push_back(std::make_unique<net::TcpStream>(loop, std::move(fd), net::Stream::Handlers{}));
+    accepted.back()->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  open();
+  Catalogue list;
+  platform::Listed l;
+  l.endpoint.id = "s-1", l.address = listener.address().text();
+  list.endpoints.push_back(l);
+  transport->learn(list);
+  order(1, "m-1", 1'000'000);
+  transport->flush();
+  ASSERT_TRUE(until([&] { return ends.count(1) > 0; }));
+  EXPECT_EQ(ends.at(1).outcome, Outcome::connect_failed);
+  EXPECT_EQ(transport->connections(), 0u);
+}
+
 // ---- The list. ----
 
+// An endpoint drains while the connection for a call to it still comes up: the call goes elsewhere.
+TEST_F(Crossings, ADrainCallsBackWhatWaitsForItsConnection) {
+  const std::string was = R"("ConnectTimeout":500000)";
+  settings.replace(settings.find(was), was.size(), R"("ConnectTimeout":4000000)");
+  add("s-1", 7);
+  start();
+  ASSERT_TRUE(until([&] { return !watches.empty(); }));
+  endpoints.at("s-1").server->shut_out();
+  Client c(*this);
+  c.hand_in("m-1", "order");
+  EXPECT_EQ(c.status(), 202);
+  add("s-2", 7);
+  change("s-1", "draining");
+  ASSERT_TRUE(until([&] { return watches.size() == 1; }));  // told, and asked on
+  endpoints.at("s-1").server->let_in();
+  ASSERT_TRUE(until([&] { return called("m-1") == 1; }));
+  EXPECT_EQ(calls[0].endpoint, "s-2");
+  EXPECT_TRUE(until([&] { return relay->held() == 0; }));
+  EXPECT_EQ(called("m-1"), 1u);
+}
+
 // A watch falls silent just after its answer, and then an endpoint drains: found out and asked for anew
 // within the 6 s after which it counts as told.
 TEST_F(Crossings, WhatASilentWatchMissedIsKnownWithinSixSeconds) {
