Conformance: no retry is out at the drain's end where a script says 429

Change: scripted partners tell the wait that their place names with a 429, and those of the exit cases name 10 s: what is compared is the same, as strictly, without the moment. 'refuse' has no wait to tell and stays as it was.

--- a/emulator/partner.cpp
+++ b/emulator/partner.cpp
@@ -135,6 +135,7 @@
     plan.what = Plan::Do::nothing;
   else
     plan.status = std::stoi(word);
+  if (plan.status == 429) plan.wait = settings_.place.tells_wait;
   return plan;
 }
 
--- a/tests/conformance_test.cpp
+++ b/tests/conformance_test.cpp
@@ -72,7 +72,12 @@
   Standins standins;
   const std::vector<Case>& list;
   explicit Prepared(const std::vector<Case>& l, bool centres = false) : standins(centres), list(l) {
-    for (std::size_t i = 0; i < list.size(); i++) standins.add(own(i), list[i].script, list[i].kind);
+    for (std::size_t i = 0; i < list.size(); i++) {
+      // Told to wait, so that no try is out when the drain's deadline comes: whether one was used to hang on
+      // the moment, and with it whether the message was refused or in doubt.
+      standins.tells_wait = list[i].by_exit && list[i].script == "429" ? 10 * kS : 0;
+      standins.add(own(i), list[i].script, list[i].kind);
+    }
     standins.start();
   }
   static std::string own(std::size_t i) { return "c" + std::to_string(i); }
--- a/tests/form.hpp
+++ b/tests/form.hpp
@@ -26,9 +26,11 @@
     std::filesystem::remove_all(folder_, ignored);
   }
   // Before start(). An empty script serves all.
+  loop::Time tells_wait = 0;  // with a 429 of those added next
   void add(const std::string& destination, const std::string& script, const std::string& kind = "plain") {
     standin::DestinationSettings d;
     d.name = destination, d.place = Service::quick(), d.smpp = centres_;
+    d.place.tells_wait = tells_wait;
     std::istringstream in(script.empty() ? "201" : script);
     for (std::string w; in >> w;) d.answers.push_back(w);
     standin::EndpointSettings settings;
