--- a/bench/trace_bench.cpp
+++ b/bench/trace_bench.cpp
@@ -66,4 +66,3 @@
 
 }  // namespace
 }  // namespace cedarplank
-
--- a/fuzz/http2_fuzz.cpp
+++ b/fuzz/http2_fuzz.cpp
@@ -30,7 +30,7 @@
   }
   c.take_output();
   cedarplank::record::Http2Tap tap(cedarplank::record::Record::Side::client, "p", 1, !as_server,
-                              [](cedarplank::record::Record&&) {});
+                                   [](cedarplank::record::Record&&) {});
   tap.pass(1, false, bytes);
   return 0;
 }
--- /dev/null
+++ b/tests/faults/preload.cpp
@@ -0,0 +1,190 @@
+// A library that is loaded into a relay under test (LD_PRELOAD) and makes its system calls fail, fall short
+// or lie as the control file says. The lasting folder is told from all else by the calls: only the journal
+// uses pwrite, pread, openat and the like.
+#include <dirent.h>
+#include <dlfcn.h>
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "faults/control.hpp"
+
+namespace {
+
+using cedarplank::testing::faults::Control;
+
+Control* control() {
+  static Control* const mapped = [] {
+    const char* file = std::getenv(cedarplank::testing::faults::kControlFile);
+    return file == nullptr ? nullptr : cedarplank::testing::faults::map_control(file, false);
+  }();
+  return mapped;
+}
+
+template <typename Function>
+Function real(const char* name) {
+  return reinterpret_cast<Function>(dlsym(RTLD_NEXT, name));
+}
+
+// Whether the call is to fail; errno is set then.
+bool fails(std::atomic<int> Control::*what) {
+  if (control() == nullptr) return false;
+  const int error = (control()->*what).load(std::memory_order_relaxed);
+  if (error == 0) return false;
+  control()->hits++;
+  errno = error;
+  return true;
+}
+
+size_t bounded(size_t size) {
+  const int most = control() == nullptr ? 0 : control()->short_io.load(std::memory_order_relaxed);
+  return most > 0 ? std::min(size, static_cast<size_t>(most)) : size;
+}
+
+bool receive_fails() {
+  static std::atomic<int> reads{0};
+  if (control() == nullptr || control()->receive_error.load() == 0) return false;
+  if (++reads % std::max(1, control()->receive_error_each.load()) != 0) return false;
+  return fails(&Control::receive_error);
+}
+
+}  // namespace
+
+extern "C" {
+
+ssize_t pwrite(int fd, const void* bytes, size_t size, off_t at) {
+  static const auto next = real<ssize_t (*)(int, const void*, size_t, off_t)>("pwrite");
+  if (control() != nullptr) {
+    if (const int kill_at = control()->kill_in_write.exchange(0); kill_at > 0) {
+      [[maybe_unused]] const auto n = next(fd, bytes, std::min(size, static_cast<size_t>(kill_at - 1)), at);
+      raise(SIGKILL);
+    }
+    if (control()->write_error.load() != 0) {
+      const auto part = static_cast<size_t>(control()->write_part.load());
+      // As the system does: what went through is told, and the rest fails the next time.
+      if (part > 0 && part < size) {
+        control()->write_part = 0;
+        return next(fd, bytes, part, at);
+      }
+    }
+  }
+  return fails(&Control::write_error) ? -1 : next(fd, bytes, size, at);
+}
+ssize_t pwrite64(int fd, const void* bytes, size_t size, off_t at) { return pwrite(fd, bytes, size, at); }
+
+ssize_t pread(int fd, void* bytes, size_t size, off_t at) {
+  static const auto next = real<ssize_t (*)(int, void*, size_t, off_t)>("pread");
+  return fails(&Control::read_error) ? -1 : next(fd, bytes, size, at);
+}
+ssize_t pread64(int fd, void* bytes, size_t size, off_t at) { return pread(fd, bytes, size, at); }
+
+int openat(int folder, const char* name, int flags, ...) {
+  static const auto next = real<int (*)(int, const char*, int, mode_t)>("openat");
+  va_list more;
+  va_start(more, flags);
+  const auto mode = static_cast<mode_t>(va_arg(more, int));
+  va_end(more);
+  if ((flags & O_CREAT) != 0 && fails(&Control::create_error)) return -1;
+  return next(folder, name, flags, mode);
+}
+int openat64(int folder, const char* name, int flags, ...) {
+  va_list more;
+  va_start(more, flags);
+  const auto mode = static_cast<mode_t>(va_arg(more, int));
+  va_end(more);
+  return openat(folder, name, flags, mode);
+}
+
+int posix_fallocate(int fd, off_t at, off_t size) {
+  static const auto next = real<int (*)(int, off_t, off_t)>("posix_fallocate");
+  return fails(&Control::allocate_error) ? errno : next(fd, at, size);
+}
+int posix_fallocate64(int fd, off_t at, off_t size) { return posix_fallocate(fd, at, size); }
+
+int renameat(int from_folder, const char* from, int to_folder, const char* to) {
+  static const auto next = real<int (*)(int, const char*, int, const char*)>("renameat");
+  return fails(&Control::rename_error) ? -1 : next(from_folder, from, to_folder, to);
+}
+
+int unlinkat(int folder, const char* name, int flags) {
+  static const auto next = real<int (*)(int, const char*, int)>("unlinkat");
+  return fails(&Control::remove_error) ? -1 : next(folder, name, flags);
+}
+
+struct dirent* readdir(DIR* folder) {
+  static const auto next = real<struct dirent* (*)(DIR*)>("readdir");
+  return fails(&Control::read_error) ? nullptr : next(folder);
+}
+struct dirent64* readdir64(DIR* folder) {
+  static const auto next = real<struct dirent64* (*)(DIR*)>("readdir64");
+  return fails(&Control::read_error) ? nullptr : next(folder);
+}
+
+int accept4(int fd, struct sockaddr* from, socklen_t* size, int flags) {
+  static const auto next = real<int (*)(int, struct sockaddr*, socklen_t*, int)>("accept4");
+  return fails(&Control::accept_error) ? -1 : next(fd, from, size, flags);
+}
+
+int socket(int domain, int type, int protocol) {
+  static const auto next = real<int (*)(int, int, int)>("socket");
+  return fails(&Control::socket_error) ? -1 : next(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr* to, socklen_t size) {
+  static const auto next = real<int (*)(int, const struct sockaddr*, socklen_t)>("connect");
+  return fails(&Control::connect_error) ? -1 : next(fd, to, size);
+}
+
+ssize_t recv(int fd, void* bytes, size_t size, int flags) {
+  static const auto next = real<ssize_t (*)(int, void*, size_t, int)>("recv");
+  if ((flags & MSG_PEEK) == 0 && receive_fails()) return -1;
+  return next(fd, bytes, bounded(size), flags);
+}
+
+ssize_t send(int fd, const void* bytes, size_t size, int flags) {
+  static const auto next = real<ssize_t (*)(int, const void*, size_t, int)>("send");
+  return next(fd, bytes, bounded(size), flags);
+}
+
+int poll(struct pollfd* fds, nfds_t count, int timeout) {
+  static const auto next = real<int (*)(struct pollfd*, nfds_t, int)>("poll");
+  static std::atomic<int> calls{0};
+  if (control() != nullptr && control()->interrupt_polls.load() != 0 && ++calls % 2 == 0) {
+    control()->hits++;
+    errno = EINTR;
+    return -1;
+  }
+  return next(fds, count, timeout);
+}
+
+int clock_gettime(clockid_t which, struct timespec* out) {
+  static const auto next = real<int (*)(clockid_t, struct timespec*)>("clock_gettime");
+  const int result = next(which, out);
+  if (result != 0 || which != CLOCK_REALTIME || control() == nullptr) return result;
+  constexpr std::int64_t kMillion = 1'000'000;
+  const std::int64_t micros =
+      std::int64_t{out->tv_sec} * kMillion + out->tv_nsec / 1000 + control()->wall_shift.load();
+  out->tv_sec = micros / kMillion, out->tv_nsec = micros % kMillion * 1000 + out->tv_nsec % 1000;
+  return result;
+}
+
+FILE* fopen(const char* name, const char* mode) {
+  static const auto next = real<FILE* (*)(const char*, const char*)>("fopen");
+  if (control() != nullptr && control()->hide_boot_id.load() != 0 && strstr(name, "boot_id") != nullptr) {
+    control()->hits++;
+    errno = ENFILE;
+    return nullptr;
+  }
+  return next(name, mode);
+}
+FILE* fopen64(const char* name, const char* mode) { return fopen(name, mode); }
+
+}  // extern "C"
--- /dev/null
+++ b/tests/platform_faults_test.cpp
@@ -0,0 +1,92 @@
+// Relays as real processes with a folder, a clock and system calls that fail: the rules hold all the same.
+#include <gtest/gtest.h>
+
+#include "faults/fleet.hpp"
+
+namespace cedarplank::testing::faults {
+namespace {
+
+FleetSettings settings() {
+  FleetSettings s;
+  s.program = PROGRAM, s.library = FAULT_LIBRARY;
+  s.endpoints_each = 1, s.unsafe_deadline = s.safe_deadline;
+  return s;
+}
+
+class PlatformFaults : public ::testing::Test {
+ public:
+  PlatformFaults() : fleet(settings()) {}
+  void expect_rules_kept() {
+    const auto verdict = fleet.judge.verdict(loop::monotonic_now());
+    for (const auto& broken : verdict.broken) ADD_FAILURE() << broken;
+    if (HasFailure())
+      for (const auto& line : fleet.log(0)) std::fprintf(stderr, "%s\n", line.c_str());
+  }
+  // As many as are held while their endpoints say nothing.
+  std::vector<std::string> hold(int messages) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < messages; i++) ids.push_back(fleet.hand_in(0, i % 2 == 0, i % 3));
+    fleet.until([&] { return fleet.judge.requests.at(ids.back()).status != 0; }, 1'000'000);
+    return ids;
+  }
+  Fleet fleet;
+};
+
+// The fault run of 2026-12-02: a passing error of the folder ended its journal for good. What was told as
+// over meanwhile had no record, and the next start sent it again.
+TEST_F(PlatformFaults, WhatEndsWhileTheFolderFailsIsNotSentAfterTheNextStart) {
+  for (const int error : {ENOSPC, EIO}) {
+    ASSERT_TRUE(fleet.running(0) || fleet.start(0));
+    // Told to wait for longer than they have time, they are handed back at once.
+    fleet.reply = [](const auto&, const auto&) { return Reply{Reply::What::told_wait, 400'000, 2'000'000}; };
+    hold(20);
+    fleet.faults(0).write_error = error;
+    fleet.run(700'000);
+    fleet.faults(0).write_error = 0;
+    fleet.kill(0);
+    fleet.run(500'000);
+    fleet.reply = [](const auto&, const auto&) { return Reply{}; };
+    fleet.settle();
+    EXPECT_GT(fleet.faults(0).hits, 0u);
+    EXPECT_FALSE(fleet.judge.restarts.empty());
+  }
+  expect_rules_kept();
+}
+
+TEST_F(PlatformFaults, OnceTheFolderCanBeWrittenAgainMessagesAreTaken) {
+  for (const int error : {ENOSPC, EIO}) {
+    ASSERT_TRUE(fleet.running(0) || fleet.start(0));
+    fleet.faults(0).write_error = error;
+    hold(4);
+    fleet.run(1'000'000);
+    fleet.faults(0).write_error = 0;
+    fleet.run(300'000);
+    std::vector<std::string> ids = hold(10);
+    for (const auto& id : ids) EXPECT_TRUE(fleet.judge.requests.at(id).accepted()) << id;
+    fleet.settle();
+  }
+  expect_rules_kept();
+}
+
+TEST_F(PlatformFaults, AnErrorWhileTheFolderIsOpenedLosesNothing) {
+  for (const int error : {ENOSPC, EIO}) {
+    ASSERT_TRUE(fleet.running(0) || fleet.start(0));
+    fleet.reply = [](const auto&, const auto&) { return Reply{Reply::What::refuse}; };
+    const auto ids = hold(20);
+    Control& faults = fleet.faults(0);
+    faults.kill_in_write = 20;  // a torn tail, which a start wants to clear
+    fleet.hand_in(0, true);
+    fleet.run(100'000);
+    fleet.kill(0);
+    faults.write_error = faults.create_error = faults.allocate_error = error;
+    fleet.run(1'200'000);
+    fleet.reply = [](const auto&, const auto&) { return Reply{}; };
+    faults.write_error = faults.create_error = faults.allocate_error = 0;
+    fleet.settle();
+    for (const auto& id : ids) EXPECT_NE(fleet.end_of(id), "") << id;
+  }
+  expect_rules_kept();
+}
+
+}  // namespace
+}  // namespace cedarplank::testing::faults
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -15,98 +15,12 @@
 #include <vector>
 
 #include "http1/message.hpp"
+#include "http1_server.hpp"
 #include "net/socket.hpp"
 #include "platform/relay.hpp"
 
 namespace cedarplank::platform::testing {
 
-// Reads requests on every connection and answers with the bytes that `on` gives.
-class Server {
- public:
-  struct Reply {
-    std::string bytes;
-    enum class Then { keep, close, abort } then = Then::keep;
-  };
-  using On = std::function<Reply(const http1::Message&, int connection)>;
-  Server(loop::Loop& loop, On on) : loop_(loop), on_(std::move(on)) { listen("127.0.0.1:0"); }
-  std::string address() const { return address_; }
-  bool up() const { return listener_ != nullptr; }
-  void down() { listener_.reset(), links_.clear(); }
-  void again() { listen(address_); }
-  // New connections stay halfway from here on: the one place in the queue is taken, and nobody is let in.
-  void shut_out() {
-    listener_.reset();
-    listen(address_, 0);
-    listener_->pause(true);
-    filler_ = std::make_unique<net::TcpStream>(loop_, net::Address::parse(address_), 60'000'000,
-                                               net::Stream::Handlers{});
-  }
-  // The next try of each, a second after its first, comes through.
-  void let_in() { listener_->pause(false); }
-  void write(int connection, const std::string& bytes) { links_.at(connection)->stream->write(bytes); }
-  std::size_t connections() const { return links_.size(); }
-  int opened = 0;
-  // Asked at the first bytes of each request, by connection and requests before it: true resets the
-  // connection.
-  std::function<bool(int, int)> resets;
-
- private:
-  struct Link {
-    std::unique_ptr<net::TcpStream> stream;
-    http1::Reader reader{http1::Reader::Side::requests};
-    int requests = 0;
-  };
-  void listen(const std::string& at, int backlog = 512) {
-    listener_ = std::make_unique<net::Listener>(
-        loop_, net::Address::parse(at),
-        [this](net::Fd fd) {
-          const int n = ++opened;
-          auto link = std::make_shared<Link>();
-          std::weak_ptr<Link> weak = link;
-          link->stream = std::make_unique<net::TcpStream>(
-              loop_, std::move(fd),
-              net::Stream::Handlers{.connected = {},
-                                    .data =
-                                        [this, weak, n](std::string_view bytes) {
-                                          if (const auto l = weak.lock()) read(l, n, bytes);
-                                        },
-                                    .drained = {},
-                                    .closed = [this, n](const std::string&) { drop(n); }});
-          links_[n] = std::move(link);
-        },
-        backlog);
-    address_ = listener_->address().text();
-  }
-  void read(const std::shared_ptr<Link>& l, int n, std::string_view bytes) {
-    while (!bytes.empty() && links_.count(n) > 0) {
-      if (l->reader.state() == http1::Reader::State::waiting && resets && resets(n, l->requests++)) {
-        l->stream->close(true);
-        return drop(n);
-      }
-      bytes.remove_prefix(l->reader.take(bytes));
-      if (l->reader.state() != http1::Reader::State::complete) return;
-      const http1::Message request = l->reader.message();
-      l->reader.next();
-      const Reply reply = on_(request, n);
-      if (links_.count(n) == 0) return;
-      if (!reply.bytes.empty()) l->stream->write(reply.bytes);
-      if (reply.then != Reply::Then::keep) l->stream->close(reply.then == Reply::Then::abort), drop(n);
-    }
-  }
-  void drop(int n) {
-    const auto it = links_.find(n);
-    if (it == links_.end()) return;
-    loop_.defer([keep = it->second] {});
-    links_.erase(it);
-  }
-  loop::Loop& loop_;
-  On on_;
-  std::string address_;
-  std::unique_ptr<net::Listener> listener_;
-  std::unique_ptr<net::TcpStream> filler_;
-  std::map<int, std::shared_ptr<Link>> links_;
-};
-
 struct Call {
   std::string endpoint, path, id, body, budget;
   int connection;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,12 +1,37 @@
 #!/bin/bash
-# Builds with warnings as errors and runs all tests, plainly and under sanitizers.
+# Builds with warnings as errors and runs all tests, plainly and under sanitizers. Tests that KNOWN-RED.txt names
+# (test | cause | issue) run too and are printed; they alone may fail. One that passes has to come off the list.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+
+known=()
+if [ -f KNOWN-RED.txt ]; then
+  mapfile -t known < <(grep -v '^ *$' KNOWN-RED.txt)
+fi
+if ((${#known[@]} > 3)); then
+  echo "KNOWN-RED.txt has ${#known[@]} lines; three at most" >&2
+  exit 1
+fi
+pattern=
+for line in "${known[@]}"; do
+  name=${line%% |*}
+  pattern+="${pattern:+|}^${name//./\\.}\$"
+done
+
+clang-format --dry-run -Werror $(git ls-files '*.cpp' '*.hpp')
 for sanitize in OFF ON; do
   dir=build-test-$sanitize
   cmake -B "$dir" -G Ninja -DCMAKE_BUILD_TYPE=Release -DCEDARPLANK_TESTS=ON -DCEDARPLANK_SERVICE=ON \
     -DCEDARPLANK_WERROR=ON -DCEDARPLANK_SANITIZE=$sanitize \
     -DCMAKE_CXX_FLAGS_RELEASE="$([ $sanitize = ON ] && echo '-O1 -g1' || echo '-O2 -DNDEBUG')" >/dev/null
   cmake --build "$dir" -j "$(nproc)" -- --quiet
-  ctest --test-dir "$dir" --output-on-failure -j "$(nproc)"
+  ctest --test-dir "$dir" --output-on-failure -j "$(nproc)" ${pattern:+-E "$pattern"}
+  for line in "${known[@]}"; do
+    name=${line%% |*}
+    if ctest --test-dir "$dir" -R "^${name//./\\.}\$" --no-tests=error >/dev/null 2>&1; then
+      echo "known red, but it passes (take it off KNOWN-RED.txt): $line" >&2
+      exit 1
+    fi
+    echo "known red, failed as expected: $line"
+  done
 done
