--- a/src/journal/keeper.cpp
+++ b/src/journal/keeper.cpp
@@ -73,6 +73,16 @@
   if (stalled) let_go();
 }
 
+void Keeper::tell_overdue(Time now) {
+  std::vector<std::function<void()>> overdue;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    const bool told = it->second.kind == Waiting::Kind::word && it->second.due != 0 && it->second.due <= now;
+    if (told) overdue.push_back(std::move(it->second.go));
+    it = told ? waiting_.erase(it) : std::next(it);
+  }
+  for (const auto& tell : overdue) tell();
+}
+
 // Clients get their answers in time, journal or not; what may do harm twice is not sent behind its back.
 void Keeper::let_go() {
   auto waiting = std::move(waiting_);
@@ -106,7 +116,7 @@
   const auto it = image_.held().find(id);
   const Sequence s = it == image_.held().end() ? 0 : it->second.first;
   if (!waits_.acknowledgement || failed_ || stalled_ || s <= durable_) return then();
-  wait_for(s, {Waiting::Kind::word, 0, std::move(then)});
+  wait_for(s, {Waiting::Kind::word, 0, std::move(then), 0});
 }
 
 void Keeper::send(const relay::CallOrder& call) {
@@ -120,11 +130,13 @@
   if (!wait) return ports_.transport.send(call);
   endpoint_of_[call.id] = call.endpoint;
   // Time that passes until then is the message's.
-  wait_for(s, {Waiting::Kind::call, call.id, [this, call, decided = now_] {
+  wait_for(s, {Waiting::Kind::call, call.id,
+               [this, call, decided = now_] {
                  relay::CallOrder order = call;
                  order.time_left = std::max<Time>(0, call.time_left - (now_ - decided));
                  ports_.transport.send(order);
-               }});
+               },
+               0});
 }
 
 void Keeper::ended(const relay::CallOrder& call, const relay::Ending& ending) {
@@ -177,10 +189,12 @@
   record::Answered r;
   r.id = id, r.verdict = verdict, r.come_back = come_back;
   r.attempts = account.attempts, r.last = account.last;
+  Time due = 0;
   if (const auto it = image_.held().find(id); it != image_.held().end()) {
     const auto& m = it->second.now;
     r.message_class = m.message_class, r.destination = m.destination, r.tenant = m.tenant,
     r.owner = m.message->owner;
+    due = m.deadline;
     r.idempotency_key = m.message->idempotency_key;
     r.fingerprint = fingerprint(m.destination, m.message_class, *m.message);
   }
@@ -188,7 +202,7 @@
   if (asked || !r.idempotency_key.empty() || !r.owner.empty()) r.until = now_ + settings_.answers_for;
   const Sequence s = write({now_, std::move(r)});
   if (s == 0 || stalled_ || !waits_.answers) return hand_over();
-  wait_for(s, {Waiting::Kind::word, 0, std::move(hand_over)});
+  wait_for(s, {Waiting::Kind::word, 0, std::move(hand_over), due});
 }
 
 void Keeper::served(MessageId id, const relay::Ending& ending) {
@@ -253,7 +267,7 @@
     if (last_ <= durable_)
       ports_.release(after);
     else
-      wait_for(last_, {Waiting::Kind::release, 0, [this, after] { ports_.release(after); }});
+      wait_for(last_, {Waiting::Kind::release, 0, [this, after] { ports_.release(after); }, 0});
   }
   return done >= most;
 }
--- a/src/journal/keeper.hpp
+++ b/src/journal/keeper.hpp
@@ -70,6 +70,10 @@
   // Nothing becomes durable for now, though it may again: as after fail(), but records go on to be written.
   void stall(bool stalled);
   bool failed() const { return failed_; }
+  // While nothing becomes durable for now: answers whose message's time is up are told without their record.
+  // A start that finds such a message held sends nothing for it any more, since its time is up then too;
+  // every other answer waits, since a start would send the message again after it had been told (rule 1).
+  void tell_overdue(Time now);
   // Whether an answer with this record may be told: nobody who asks hears it before its own client may.
   bool may_be_told(Sequence s) const { return failed_ || stalled_ || !waits_.answers || s <= durable_; }
   const std::string& why_failed() const { return why_; }
@@ -120,6 +124,7 @@
     enum class Kind { word, call, release } kind = Kind::word;  // word: to a client
     relay::CallId call = 0;
     std::function<void()> go;
+    Time due = 0;  // of an answer: when its message's time is up; 0: it has none
   };
   Sequence write(Record record);
   void count(Sequence sequence, std::size_t bytes);
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -55,7 +55,7 @@
                                                                    if (!l) return;
                                                                    const bool open = l->open;
                                                                    drop(l);
-                                                                   if (open) host_.gone(l->number);
+                                                                   if (open) host_.gone(l->number, Reads::no);
                                                                  },
                                                              .ended =
                                                                  [this, weak] {
@@ -118,9 +118,8 @@
 // nothing is done for it any more, and it gets to know that, should it still read.
 void Clients::ended(const ClientPtr& c) {
   if (!c->open) return drop(c);
-  host_.gone(c->number);
   c->ahead.clear();
-  answer(c->number, 503, {}, "the connection ended before the message was taken on\n", true);
+  host_.gone(c->number, Reads::still);
 }
 
 void Clients::read(const ClientPtr& c, std::string_view bytes) {
--- a/src/platform/clients.hpp
+++ b/src/platform/clients.hpp
@@ -19,11 +19,13 @@
 class Clients {
  public:
   using Number = std::uint64_t;  // of a connection; never used again
+  enum class Reads { no, still };
   struct Host {
     // A whole request. To be answered by answer(), now or later.
     std::function<void(Number, http1::Message&)> request;
-    // The client has gone or sends nothing more, its request unanswered: nothing is done for it any more.
-    std::function<void(Number)> gone;
+    // The client has gone or sends nothing more, its request unanswered: nothing is done for it any more. One
+    // that may still read is to be answered.
+    std::function<void(Number, Reads)> gone;
     // A connection was closed from this side, and why.
     std::function<void(const std::string&)> log = [](const std::string&) {};
   };
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -1,5 +1,8 @@
 #include "platform/journal.hpp"
 
+#include <signal.h>
+#include <time.h>
+
 #include <algorithm>
 #include <stdexcept>
 
@@ -17,6 +20,28 @@
 constexpr std::size_t kSpare = 1;
 constexpr std::uint64_t kFewestFiles = 6;
 constexpr std::size_t kRecordMore = 2048;  // bytes of a message's record beside its body
+constexpr Time kRetryEvery = 20'000;       // while the folder can't be written
+// While it can't be read at a start. "Nine in ten restarted relays are ready within 10 s" (STANDING).
+constexpr Time kOpenWithin = 8'000'000, kOpenEvery = 50'000;
+
+// Errors of the system that may pass, where trying again is of use.
+bool may_pass(const std::error_code& error) {
+  for (const auto e : {std::errc::no_space_on_device, std::errc::io_error, std::errc::too_many_files_open,
+                       std::errc::too_many_files_open_in_system, std::errc::not_enough_memory,
+                       std::errc::no_buffer_space, std::errc::interrupted})
+    if (error == e) return true;
+  return false;
+}
+
+// Waits before opening is tried again. False where the process was told to end meanwhile: those signals are
+// blocked until the relay stands (app/platform.cpp).
+bool pause_before_retry() {
+  const timespec pause{0, kOpenEvery * 1000};
+  nanosleep(&pause, nullptr);
+  sigset_t waiting;
+  sigpending(&waiting);
+  return sigismember(&waiting, SIGTERM) == 0 && sigismember(&waiting, SIGINT) == 0;
+}
 
 }  // namespace
 
@@ -37,16 +62,13 @@
     : loop_(loop),
       settings_(std::move(settings)),
       log_settings_(log_settings(settings_.disk)),
-      log_line_(std::move(log)) {
-  try {
-    files_ = store::open_folder(settings_.folder, store::Folder::existing);
-  } catch (const std::system_error& e) {
-    throw std::runtime_error("journal: " + std::string(e.what()));
-  }
+      log_line_(std::move(log)),
+      moved_on_(std::move(ends.moved_on)) {
+  open_folder();
   journal::Image image;
   open_log(image);
   journal::KeeperSettings k = settings_.keeper;
-  // The log is as long as its window and what is carried on; see room() for what is left to finish on.
+  // The log is as long as its window and what is carried on; see no_room() for what is left to finish on.
   k.window = log_settings_.segment * log_settings_.segments_max / 4;
   k.answers_bytes = static_cast<std::size_t>(k.window / 2);
   keeper_ = std::make_unique<journal::Keeper>(
@@ -55,15 +77,8 @@
           .transport = ends.transport,
           .answers = ends.answers,
           .destination = [](DestinationId id) { return std::to_string(id); },
-          .append = [this](std::string bytes) -> journal::Sequence {
-            dirty_ = true;
-            const auto number = log_->next();
-            return log_->append(bytes) == store::Log::Appended::yes ? number : 0;
-          },
-          .release =
-              [this](journal::Sequence upto) {
-                if (const auto e = log_->release(upto)) log_line_("release: " + e.message());
-              },
+          .append = [this](std::string bytes) { return append(std::move(bytes)); },
+          .release = [this](journal::Sequence upto) { release(upto); },
           .unsent =
               [this, unsent = std::move(ends.unsent)](relay::CallId call, relay::Ending ending) {
                 loop_.defer([weak = std::weak_ptr(alive_), unsent, call, ending] {
@@ -75,54 +90,90 @@
   timer_ = loop_.after(kTidyEvery, [this] { tidy(); });
 }
 
-Journal::~Journal() { loop_.cancel(timer_); }
+Journal::~Journal() { loop_.cancel(timer_), loop_.cancel(retry_timer_); }
+
+// ---- taking over ----
 
+void Journal::open_folder() {
+  for (Time waited = 0;; waited += kOpenEvery) {
+    try {
+      files_ = store::open_folder(settings_.folder, store::Folder::existing);
+      return;
+    } catch (const std::system_error& e) {
+      if (waited == 0) log_line_("the folder can't be opened: " + std::string(e.what()));
+      if (!may_pass(e.code()) || waited >= kOpenWithin || !pause_before_retry())
+        throw std::runtime_error("journal: " + std::string(e.what()));
+    }
+  }
+}
+
+// Guards against an error of the system that is taken for damage: it is waited out, and no file is changed.
 void Journal::open_log(journal::Image& image) {
+  for (Time waited = 0;; waited += kOpenEvery) {
+    const std::string problem = read_log(image);
+    if (problem.empty()) return;
+    if (waited == 0) log_line_("can't be read now: " + problem);
+    if (waited >= kOpenWithin || !pause_before_retry())
+      throw std::runtime_error("journal: " + settings_.folder + ": " + problem);
+  }
+}
+
+// Reads all that is there, damaged or not. Returns what the system said where it can't be read.
+std::string Journal::read_log(journal::Image& image) {
+  image = {}, read_.clear();
   const auto id = static_cast<std::uint64_t>(node::clock_now().wall);
   log_ = std::make_unique<store::Log>(*files_, log_settings_, id);
-  std::string problem;
+  std::string damage;
   const auto opened = log_->open([&](store::Sequence s, std::string_view bytes) {
     journal::Record r;
     const auto why = journal::decode(bytes, r);
     if (why.empty())
       image.apply(s, r);
-    else if (problem.empty())
-      problem = "record " + std::to_string(s) + " " + why;
+    else if (damage.empty())
+      damage = "record " + std::to_string(s) + " " + why;
     read_.emplace_back(s, bytes.size());
   });
   if (opened.torn > 0)
     log_line_(
         std::to_string(opened.torn) +
-        " bytes behind the last record were cleared: a commit that never ended, or a segment's earlier use");
-  if (opened.problem) problem = opened.problem->text;
-  if (!problem.empty()) salvage(image, problem);
+        " bytes behind the last record are cleared: a commit that never ended, or a segment's earlier use");
+  if (opened.problem && opened.problem->what == store::LogProblem::What::io) return opened.problem->text;
+  if (opened.problem) damage = opened.problem->text;
+  if (damage.empty()) return {};
+  try {
+    salvage(image, damage);
+  } catch (const std::system_error& e) {
+    return e.what();
+  }
+  return {};
 }
 
-// Guards against a damaged journal that would keep the relay from starting: what can be read is taken over
-// into a new one, and the old is removed, since there is no room for both.
+// Guards against a damaged journal that would keep the relay from starting: what can be read is written anew
+// behind what is there, in one image, and the damaged segments go once that is durable. Started again before
+// that, it is read the same way again, since later records of a message count more than earlier ones.
+// Throws std::system_error where the system can't read a segment now.
 void Journal::salvage(journal::Image& image, const std::string& problem) {
   image = {}, read_.clear();
-  const auto found = store::salvage(*files_, [&](store::Sequence s, std::string_view bytes) {
-    journal::Record r;
-    if (journal::decode(bytes, r).empty()) image.apply(s, r);
-  });
+  const auto found = store::salvage(
+      *files_,
+      [&](store::Sequence s, std::string_view bytes) {
+        journal::Record r;
+        if (journal::decode(bytes, r).empty()) image.apply(s, r);
+      },
+      store::Unreadable::problem);
+  if (found.problem && found.problem->what == store::LogProblem::What::io)
+    throw std::system_error(std::make_error_code(std::errc::io_error), found.problem->text);
   log_line_("damaged: " + problem + "; " + std::to_string(found.records) + " records could be read, " +
             std::to_string(found.lost.size()) + " gaps; " + std::to_string(image.held().size()) +
             " messages are taken over");
-  std::vector<std::string> names;
-  files_->list(names);
-  for (const auto& name : names) files_->remove(name);
-  log_ = std::make_unique<store::Log>(*files_, log_settings_,
-                                      static_cast<std::uint64_t>(node::clock_now().wall));
-  if (const auto opened = log_->open([](store::Sequence, std::string_view) {}); opened.problem)
-    throw std::runtime_error("journal: " + settings_.folder + ": " + opened.problem->text);
+  log_->go_on_behind(found.problem ? log_->id() : found.id, found.above);
   journal::Image fresh;
   const auto write = [&](auto what) {
     const journal::Record r{image.last_at(), std::move(what)};
-    const auto bytes = journal::encode(r);
-    const auto number = log_->next();
-    if (log_->append(bytes) != store::Log::Appended::yes) return;
-    fresh.apply(number, r), read_.emplace_back(number, bytes.size());
+    auto bytes = journal::encode(r);
+    const auto size = bytes.size();
+    const auto number = append(std::move(bytes));
+    fresh.apply(number, r), read_.emplace_back(number, size);
   };
   auto base = image.base();
   base.next_id = image.next_id(), base.shift = 0;
@@ -131,35 +182,99 @@
   for (const auto& [endpoint, seen] : image.health()) write(seen.first);
   for (const auto& [message, answer] : image.answers()) write(answer.is);
   for (const auto& [message, held] : image.held()) write(held.now);
-  if (const auto e = log_->commit()) log_line_("what was salvaged could not be written: " + e.message());
   image = std::move(fresh);
 }
 
+// ---- writing ----
+
+// Numbers the record. The log's own bound is no error: what it has no room for waits until a release.
+journal::Sequence Journal::append(std::string bytes) {
+  dirty_ = true;
+  const auto number = log_->next() + overflow_.size();
+  if (!overflow_.empty()) return overflow_.push_back(std::move(bytes)), number;
+  switch (log_->append(bytes)) {
+    case store::Log::Appended::yes:
+      return number;
+    case store::Log::Appended::no_room:
+      return overflow_.push_back(std::move(bytes)), number;
+    case store::Log::Appended::too_large:
+    case store::Log::Appended::failed:
+      break;
+  }
+  return 0;
+}
+
+std::error_code Journal::write_out() {
+  while (!overflow_.empty() && log_->append(overflow_.front()) == store::Log::Appended::yes)
+    overflow_.pop_front();
+  const auto error = log_->commit();
+  if (error || overflow_.empty()) return error;
+  return std::make_error_code(std::errc::no_space_on_device);
+}
+
 void Journal::commit() {
   // One commit may let answers go whose records come with the next.
-  for (int i = 0; i < 4 && dirty_; i++) {
+  for (int i = 0; i < 4 && (dirty_ || stalled()); i++) {
     dirty_ = false;
-    if (!keeper_->failed()) {
-      if (const auto e = log_->commit()) {
-        log_line_("the journal can't be written any more: " + e.message() + "; nothing more is taken");
-        keeper_->fail(e.message());
-        return;
-      }
+    const auto error = write_out();
+    if (error) {
+      stall(error.message());
+      // As far as it got; not where it can't be told how far that is.
+      keeper_->durable(log_->durable());
+      keeper_->tell_overdue(loop_.now());
+      return;
+    }
+    if (stalled()) {
+      counts_.stalled += loop_.now() - stalled_since_;
+      log_line_("written again after " + std::to_string((loop_.now() - stalled_since_) / 1000) + " ms");
+      stalled_since_ = 0;
     }
     keeper_->durable(log_->durable());
   }
 }
 
-bool Journal::room(std::size_t body) const {
-  return !keeper_->failed() && body + kRecordMore <= log_settings_.record_max &&
-         log_->segments() <= log_settings_.segments_max * 2 / 3 &&
-         image().bytes() < log_settings_.segment * log_settings_.segments_max / 3;
+void Journal::stall(const std::string& why) {
+  dirty_ = true;
+  if (!stalled()) {
+    stalled_since_ = loop_.now(), counts_.stalls++;
+    log_line_("can't be written now: " + why + "; nothing is taken on, what waits for a record waits");
+  }
+  if (retry_timer_ != 0) return;
+  retry_timer_ = loop_.after(kRetryEvery, [this] {
+    retry_timer_ = 0;
+    retry();
+  });
+}
+
+void Journal::retry() {
+  commit();
+  moved_on_();
+}
+
+const char* Journal::no_room(std::size_t body) const {
+  if (stalled()) return "the journal can't be written now";
+  if (body + kRecordMore > log_settings_.record_max) return "the journal takes no record so large";
+  const bool room = log_->segments() <= log_settings_.segments_max * 2 / 3 &&
+                    image().bytes() < log_settings_.segment * log_settings_.segments_max / 3;
+  return room ? nullptr : "the journal has no room now";
+}
+
+void Journal::release(journal::Sequence upto) {
+  release_to_ = std::max(release_to_, upto);
+  if (const auto e = log_->release(release_to_)) return log_line_("release: " + e.message());
+  release_to_ = 0;
 }
 
 void Journal::tidy() {
-  const bool pressed = log_->segments() > log_settings_.segments_max / 2;
-  keeper_->tidy(loop_.now(), kTidyAtOnce, pressed);
-  commit();
+  if (release_to_ != 0) release(release_to_);
+  if (!stalled()) {
+    const bool pressed = log_->segments() > log_settings_.segments_max / 2;
+    keeper_->tidy(loop_.now(), kTidyAtOnce, pressed);
+    if (dirty_) {
+      commit();
+      moved_on_();
+    }
+  }
   timer_ = loop_.after(kTidyEvery, [this] { tidy(); });
 }
 
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -86,7 +86,8 @@
                                               [this](relay::CallId call, relay::Ending ending) {
                                                 core_->call_ended(loop_.refresh(), call, std::move(ending));
                                                 poke();
-                                              }},
+                                              },
+                                              [this] { poke(); }},
                                 [this](const std::string& text) { log_.say(Event::journal, text); });
   auto& keeper = journal_->keeper();
   attempts_ = std::make_unique<AttemptLog>(keeper, log_, [this](MessageId id) {
@@ -107,7 +108,7 @@
   clients_ = std::make_unique<Clients>(
       loop_, net::Address::parse(config_.listen), client_share(config_.limits, set.slots),
       Clients::Host{.request = [this](Clients::Number n, http1::Message& r) { request(n, r); },
-                    .gone = [this](Clients::Number n) { gone(n); },
+                    .gone = [this](Clients::Number n, Clients::Reads reads) { gone(n, reads); },
                     .log = [this](const std::string& text) { log_.say(Event::clients, text); }});
   turn();
 }
@@ -213,7 +214,7 @@
   if (core_->stopping()) return answer(503, "the relay is stopping");
   if (destinations_.count(in.message.destination) == 0)
     return answer(503, "no list has shown this destination");
-  if (!journal_->room(in.message.body.size())) return answer(503, "the journal has no room now");
+  if (const char* why = journal_->no_room(in.message.body.size())) return answer(503, why);
   const MessageId id = next_id_;
   std::string name = std::move(in.id);
   if (core_->take(loop_.refresh(), id, std::move(in.message)) != relay::Core::Taken::yes)
@@ -226,17 +227,31 @@
   poke();
 }
 
-// Its client left before it heard of it: withdrawn.
-void Relay::gone(Clients::Number client) {
+// Its client left before it heard of it: withdrawn. One that still reads is answered once that is on record,
+// for else a start could send what was answered as over.
+void Relay::gone(Clients::Number client, Clients::Reads reads) {
   const auto it = waiting_clients_.find(client);
-  if (it == waiting_clients_.end()) return;
+  if (it == waiting_clients_.end()) {
+    if (reads == Clients::Reads::still) withdrawn_.push_back({client, relay::Fate::refuse}), poke();
+    return;
+  }
   const MessageId id = it->second;
   const Held held = forget(id);
   log_.line(Event::withdrawn, [&] { return "id=" + held.name; });
-  core_->withdraw(loop_.refresh(), id);
+  const auto fate = core_->withdraw(loop_.refresh(), id);
+  if (reads == Clients::Reads::still) withdrawn_.push_back({client, fate});
   poke();
 }
 
+void Relay::answer_withdrawn() {
+  if (journal_->stalled()) return;
+  for (const auto& w : std::exchange(withdrawn_, {})) {
+    const bool unrun = w.fate == relay::Fate::refuse;
+    clients_->answer(w.client, unrun ? 503 : 500, {},
+                     "the connection ended before the message was taken on\n", true);
+  }
+}
+
 // Taken on, once the module has had its say and the record of it outlives the process.
 void Relay::answer_taken() {
   auto waiting = std::move(waiting_);
@@ -249,11 +264,10 @@
       continue;
     }
     const auto client = it->second.client;
-    if (journal_->keeper().failed()) {
-      // Nobody would know of it after a crash: not taken on, and none of our business any more.
-      forget(w.id);
-      core_->withdraw(loop_.now(), w.id);
-      clients_->answer(client, 500, {}, "the journal can't be written\n");
+    // Part of its record may be in the folder, so it can't be said that it was not taken on either: its
+    // client waits, and gives up by itself.
+    if (journal_->stalled()) {
+      waiting_.push_back(w);
       continue;
     }
     waiting_clients_.erase(client);
@@ -289,7 +303,7 @@
 
 void Relay::refused(MessageId id, Time come_back, const relay::Account& account) {
   const Held held = forget(id);
-  if (held.name.empty()) return;
+  if (held.name.empty()) return journal_->keeper().handed_over(id);  // its client left meanwhile
   log_end(held, "returned", account);
   if (held.client == 0) return outcomes_->add(id, returned_notice(held.name, come_back));
   std::vector<http1::Field> fields;
@@ -300,7 +314,7 @@
 
 void Relay::failed(MessageId id, const relay::Account& account) {
   const Held held = forget(id);
-  if (held.name.empty()) return;
+  if (held.name.empty()) return journal_->keeper().handed_over(id);
   log_end(held, "failed", account);
   if (held.client == 0) return outcomes_->add(id, failed_notice(held.name));
   clients_->answer(held.client, 500, {}, "failed\n");
@@ -329,6 +343,7 @@
   journal_->commit();
   endpoints_->flush();
   answer_taken();
+  answer_withdrawn();
   loop_.cancel(timer_), timer_ = 0;
   if (!frozen_) {
     const Time due = core_->next_due();
@@ -382,7 +397,8 @@
 }
 
 void Relay::check_stopped() {
-  const bool nothing_out = endpoints_->calls_out() == 0 && outcomes_->empty() && waiting_.empty();
+  const bool nothing_out =
+      endpoints_->calls_out() == 0 && outcomes_->empty() && waiting_.empty() && !journal_->stalled();
   if (!stopped_ || !nothing_out || (!frozen_ && core_->held() > 0)) return;
   // Clients that still connect are answered until the end: see Clients::drain().
   if (frozen_) std::exchange(stopped_, nullptr)();
@@ -404,7 +420,9 @@
       pair("clients", clients_->connections()) + pair("accepted", k.accepted) + pair("requests", k.requests) +
       pair("unread", k.unread) + pair("evicted", k.evicted) + pair("ended_once", k.ended_once) +
       pair("timed_out", k.timed_out) + pair("notices", outcomes_->size()) +
-      pair("journal_bytes", journal_->bytes()) + pair("rounds", core_->rounds());
+      pair("journal_bytes", journal_->bytes()) + pair("journal_stalls", journal_->counts().stalls) +
+      pair("journal_stalled_ms", static_cast<std::uint64_t>(journal_->counts().stalled) / 1000) +
+      pair("rounds", core_->rounds());
   // What the module was told of attempts: how many ended so, and after how long in the mean.
   static constexpr const char* kOutcomes[] = {"ok",    "error",     "full",    "timeout", "connect_failed",
                                               "reset", "cancelled", "not_sent"};
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -50,8 +50,13 @@
     MessageId id;
     std::uint64_t round;
   };
+  struct Withdrawn {  // a client that still reads, and what it may be told
+    Clients::Number client;
+    relay::Fate fate;
+  };
   void request(Clients::Number client, http1::Message& request);
-  void gone(Clients::Number client);
+  void gone(Clients::Number client, Clients::Reads reads);
+  void answer_withdrawn();
   void log_end(const Held& held, const char* state, const relay::Account& account);
   void list(const Catalogue& catalogue, bool cached);
   void recover();
@@ -83,6 +88,7 @@
   std::map<std::string, MessageId> names_;
   std::map<Clients::Number, MessageId> waiting_clients_;
   std::vector<Waiting> waiting_;
+  std::vector<Withdrawn> withdrawn_;      // to be answered
   std::set<DestinationId> destinations_;  // that any list has shown
   MessageId next_id_ = 1;
   bool listed_ = false, poked_ = false, stopping_ = false, frozen_ = false;
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -89,17 +89,22 @@
   events_.push_back(std::move(arrival));
 }
 
-void Core::withdraw(Time now, MessageId id) {
+Fate Core::withdraw(Time now, MessageId id) {
   now_ = std::max(now_, now);
   const auto it = messages_.find(id);
-  if (it == messages_.end() || it->second.over) return;
+  if (it == messages_.end() || it->second.over) return Fate::fail;
   it->second.over = true;
   open_--, counts_.withdrawn++;
   tell_over(now_, id, trace::Verdict::withdrawn);
   if (ports_.witness != nullptr) ports_.witness->at(now_), ports_.witness->withdrawn(id);
   events_.push_back(event::Withdrawn{id});
+  const auto& cls = settings_.classes[static_cast<std::size_t>(it->second.message->message_class)];
+  History history = it->second.history;
   take_back_waiting(id);
+  const auto left = messages_.find(id);  // gone where nothing is out any more
+  history.out = left != messages_.end() && !left->second.out.empty();
   forget(id);
+  return fate_at_stop(cls, history);
 }
 
 // Calls of a message that is over, decided before its end and still waiting for a connection, must not leave
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -170,8 +170,8 @@
   void known(event::Known known) { events_.push_back(std::move(known)); }
   // One was turned away before it came here; counted with those that take() did not take.
   void turned_away() { counts_.not_taken++; }
-  // Its client no longer wants it; no answer is given.
-  void withdraw(Time now, MessageId id);
+  // Its client no longer wants it; no answer is given. Returns what may be said of it all the same.
+  Fate withdraw(Time now, MessageId id);
 
   void call_ended(Time now, CallId call, Ending ending);
   void probe_ended(EndpointId endpoint, Outcome outcome, Time latency);
--- a/src/store/files.cpp
+++ b/src/store/files.cpp
@@ -84,10 +84,18 @@
     names.clear();
     DIR* dir = opendir(path_.c_str());
     if (dir == nullptr) return last();
-    while (const dirent* entry = readdir(dir))
+    std::error_code error;
+    for (;;) {
+      errno = 0;  // readdir tells an error from the end by it alone
+      const dirent* entry = readdir(dir);
+      if (entry == nullptr) {
+        if (errno != 0) error = last();
+        break;
+      }
       if (entry->d_name[0] != '.') names.emplace_back(entry->d_name);
+    }
     closedir(dir);
-    return {};
+    return error;
   }
   std::error_code rename(const std::string& from, const std::string& to) override {
     return renameat(fd_.get(), from.c_str(), fd_.get(), to.c_str()) == 0 ? std::error_code() : last();
@@ -105,7 +113,9 @@
     return fd;
   }
   static int take_lock(const std::string& path, int folder) {
-    const int fd = openat(folder, ".lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    // Made only where it is missing: a full device must not keep a folder shut that has been in use.
+    int fd = openat(folder, ".lock", O_RDWR | O_CLOEXEC);
+    if (fd < 0 && errno == ENOENT) fd = openat(folder, ".lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (fd < 0) throw std::system_error(last(), path + "/.lock");
     if (flock(fd, LOCK_EX | LOCK_NB) == 0) return fd;
     const auto error = last();
--- a/src/store/inspect.cpp
+++ b/src/store/inspect.cpp
@@ -30,7 +30,8 @@
   return in;
 }
 
-Salvaged salvage(Files& files, const std::function<void(Sequence, std::string_view)>& record) {
+Salvaged salvage(Files& files, const std::function<void(Sequence, std::string_view)>& record,
+                 Unreadable unreadable) {
   Salvaged out;
   const auto fail = [&](LogProblem::What what, std::string text) {
     out.problem = LogProblem{what, std::move(text)};
@@ -42,17 +43,26 @@
   std::sort(names.begin(), names.end());
   std::string bytes;
   std::optional<std::uint64_t> id;
+  std::string newer;
   for (const auto& name : names) {
-    if (read_whole(files, name, bytes)) continue;
-    if (const auto head = Log::head_of(bytes)) {
-      if (head->version > Log::kVersion) return fail(LogProblem::What::newer, name + ": of a later version");
-      if (!id) id = head->id;
+    if (const auto e = read_whole(files, name, bytes)) {
+      if (unreadable == Unreadable::problem) return fail(LogProblem::What::io, name + ": " + e.message());
+      continue;
     }
+    out.above = std::max<Sequence>(out.above, *Log::first_of(name) + bytes.size() / Log::kHead + 1);
+    const auto head = Log::head_of(bytes);
+    if (head && head->version > Log::kVersion && newer.empty()) newer = name;
+    if (head && !id) id = head->id;
   }
+  if (!newer.empty()) return fail(LogProblem::What::newer, newer + ": of a later version");
   if (!id) return fail(LogProblem::What::not_a_log, "no segment's head can be read");
+  out.id = *id;
   Sequence next = 0;
   for (const auto& name : names) {
-    if (read_whole(files, name, bytes)) continue;  // its records count as lost
+    if (const auto e = read_whole(files, name, bytes)) {
+      if (unreadable == Unreadable::problem) return fail(LogProblem::What::io, name + ": " + e.message());
+      continue;  // its records count as lost
+    }
     const std::string_view view(bytes);
     if (next == 0) next = *Log::first_of(name);
     for (std::size_t at = Log::kSegmentHead; at + Log::kHead <= view.size();) {
@@ -67,6 +77,7 @@
       if (r.sequence > next) out.lost.emplace_back(next, r.sequence - 1);
       record(r.sequence, r.bytes);
       out.records++, next = r.sequence + 1, at += r.size;
+      out.above = std::max(out.above, next);
     }
   }
   return out;
--- a/src/store/inspect.hpp
+++ b/src/store/inspect.hpp
@@ -17,12 +17,17 @@
 Inspected inspect(Files& files, const std::function<void(Sequence, std::string_view)>& record);
 
 struct Salvaged {
+  std::uint64_t id = 0;  // of the log
   std::uint64_t records = 0;
+  Sequence above = 1;  // every number that may stand in the segments, read or not, is below it
   std::vector<std::pair<Sequence, Sequence>> lost;  // numbers that can't be read, from and to
   std::optional<LogProblem> problem;                // nothing could be read at all
 };
 // Every record that can still be read, in order, past whatever damage. Segments whose head is damaged are
-// read by the id of the others.
-Salvaged salvage(Files& files, const std::function<void(Sequence, std::string_view)>& record);
+// read by the id of the others. `unreadable`: whether the records of a segment that the system can't read now
+// are lost, or that is a problem (LogProblem::What::io), since it may be able to later.
+enum class Unreadable { lost, problem };
+Salvaged salvage(Files& files, const std::function<void(Sequence, std::string_view)>& record,
+                 Unreadable unreadable = Unreadable::lost);
 
 }  // namespace cedarplank::store
--- a/src/store/log.cpp
+++ b/src/store/log.cpp
@@ -175,22 +175,40 @@
     if (torn != std::string_view::npos) {
       opened.torn = torn + 1;
       if (settings_.read_only) break;
-      if (const auto e = write_all(*file_, at, std::string(torn + 1, '\0')))
+      tail_ = torn + 1;
+      if (const auto e = cut_tail(); e && settings_.sync)
         return fail(LogProblem::What::io, where(at) + "the torn tail can't be cut: " + e.message());
     }
     if (settings_.read_only) break;
     // Also where nothing was torn: what was read may never have been synced.
-    if (const auto e = file_->sync()) return fail(LogProblem::What::io, segment.name + ": " + e.message());
+    if (settings_.sync)
+      if (const auto e = file_->sync()) return fail(LogProblem::What::io, segment.name + ": " + e.message());
   }
   opened.next = next_;
   durable_ = written_ = next_ - 1;
   if (settings_.read_only) return failed_ = true, opened;
-  if (segments_.empty())
-    if (const auto e = begin_segment())
+  if (segments_.empty()) {
+    at_ = settings_.segment;  // full, as it were: commit() begins the first one
+    if (const auto e = begin_segment(); e && settings_.sync)
       return fail(LogProblem::What::io, "no segment can be made: " + e.message());
+  }
   return opened;
 }
 
+void Log::go_on_behind(std::uint64_t id, Sequence next) {
+  id_ = id, next_ = next;
+  written_ = durable_ = next - 1;
+  file_.reset(), at_ = settings_.segment, tail_ = 0;
+  failed_ = unsynced_ = false;
+  pending_.clear(), pending_sizes_.clear();
+}
+
+std::error_code Log::cut_tail() {
+  if (const auto e = write_all(*file_, at_, std::string(tail_, '\0'))) return e;
+  tail_ = 0;
+  return {};
+}
+
 std::error_code Log::write_all(File& file, std::uint64_t at, std::string_view bytes) {
   while (!bytes.empty()) {
     std::size_t written = 0;
@@ -264,6 +282,8 @@
 
 std::error_code Log::commit() {
   if (failed_) return std::make_error_code(std::errc::io_error);
+  if (tail_ > 0)
+    if (const auto e = cut_tail()) return e;
   while (!pending_sizes_.empty()) {
     // As many records as the segment has room for go out in one write.
     std::size_t size = 0, n = 0;
@@ -282,8 +302,9 @@
       continue;
     }
     if (const auto e = write_all(*file_, at_, std::string_view(pending_).substr(0, size))) {
-      // Room on the device comes back; the same bytes go to the same place then. Anything else does not heal.
-      if (e != std::errc::no_space_on_device) failed_ = true;
+      // Room on the device comes back; the same bytes go to the same place then. Anything else does not heal
+      // where records are claimed to be on the disk.
+      if (settings_.sync && e != std::errc::no_space_on_device) failed_ = true;
       return e;
     }
     at_ += size, written_ += n, unsynced_ = true;
--- a/src/store/log.hpp
+++ b/src/store/log.hpp
@@ -29,7 +29,9 @@
   std::size_t segments_max = 64;  // of the log; beyond them nothing is appended until some are released
   std::size_t spare_max = 4;      // released segments kept for reuse
   bool read_only = false;         // open() changes nothing, and nothing can be appended
-  bool sync = true;               // false: the system writes when it likes; a crash of the machine loses
+  // False: the system writes when it likes, and a crash of the machine loses. Nothing is claimed of the disk
+  // then, so every failed write may be tried again, also the first ones of an opened log.
+  bool sync = true;
 };
 
 // Why a log can't be opened, or what was wrong with it.
@@ -57,10 +59,15 @@
   enum class Appended { yes, too_large, no_room, failed };
   // Into memory; durable after the next commit() that says so.
   Appended append(std::string_view bytes);
-  // Writes and syncs what was appended. An error that leaves the log usable (no room on the device) may be
-  // tried again; after a failed sync it is not known what is on the disk, and the log is failed for good.
+  // Writes and syncs what was appended. An error that leaves the log usable (no room on the device; without
+  // syncs, any) may be tried again; after a failed sync it is not known what is on the disk, and the log is
+  // failed for good.
   std::error_code commit();
 
+  // Goes on behind a log that open() found damaged: with this id, from this number on, in a new segment. The
+  // segments that are there stay until release(). `next` is above every number that may stand in them.
+  void go_on_behind(std::uint64_t id, Sequence next);
+
   // Has the next segment ready, so that what must still be written finds room when the device has none left.
   std::error_code reserve();
 
@@ -104,6 +111,7 @@
   };
   bool proves_loss(std::string_view segment, std::size_t from, Sequence broken) const;
   std::error_code begin_segment();
+  std::error_code cut_tail();
   static std::error_code write_all(File& file, std::uint64_t at, std::string_view bytes);
   std::string name_of(Sequence first) const;
   Sequence next_written() const { return written_ + 1; }
@@ -116,6 +124,7 @@
   std::uint64_t spare_number_ = 0;
   std::unique_ptr<File> file_;  // of the last segment
   std::uint64_t at_ = 0;        // where the next record goes in it
+  std::size_t tail_ = 0;        // bytes from there on that no commit finished and that are to be cleared
   std::string pending_;         // records, whole
   std::deque<std::size_t> pending_sizes_;
   Sequence next_ = 1, written_ = 0, durable_ = 0;
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -149,6 +149,8 @@
       judge.crashes.push_back("crash: relay " + std::to_string(relay) + " ended by itself, code " +
                               std::to_string(r.process->exit_code()));
     r.process.reset();
+    r.ready = false;
+    if (std::exchange(r.start_when_gone, false)) launch_later(relay);
     return;
   }
   if (!r.ready) {
@@ -190,6 +192,17 @@
   if (!at(relay).ended_by_us) signalled(relay);
   at(relay).process.reset();  // SIGKILL
   at(relay).ready = false;
+  launch_later(relay);
+}
+
+void Fleet::kill_in_write(int relay, int bytes) {
+  if (!at(relay).process || at(relay).ended_by_us) return;
+  signalled(relay);
+  at(relay).start_when_gone = true;
+  at(relay).control->kill_in_write = bytes + 1;
+}
+
+void Fleet::launch_later(int relay) {
   loop.after(kStartAfter, [this, relay, alive = alive_] {
     if (*alive && !at(relay).process) launch(relay);
   });
@@ -203,9 +216,7 @@
     if (!*alive) return;
     at(relay).process.reset();
     at(relay).ready = false;
-    loop.after(kStartAfter, [this, relay, alive] {
-      if (*alive && !at(relay).process) launch(relay);
-    });
+    launch_later(relay);
   });
 }
 
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -54,7 +54,9 @@
   // False where it was not ready within 10 s.
   bool start(int relay);
   bool start_all();
-  void kill(int relay);       // SIGKILL, and a new process 0.6 s later
+  void kill(int relay);  // SIGKILL, and a new process 0.6 s later
+  // The same by the process itself, within its next write to the folder, of which so many bytes get through.
+  void kill_in_write(int relay, int bytes);
   void terminate(int relay);  // SIGTERM, SIGKILL 3.7 s later, and a new process 0.6 s after that
   void run(Time span);
   bool until(const std::function<bool()>& what, Time within);
@@ -90,7 +92,7 @@
     std::string listen, folder, config_file, control_file;
     Control* control = nullptr;
     std::unique_ptr<rig::Process> process;
-    bool ended_by_us = true, ready = false;
+    bool ended_by_us = true, ready = false, start_when_gone = false;
     std::size_t restart = 0;  // place in judge.restarts, plus one
     std::vector<std::string> log;
     std::vector<ClientLinkPtr> idle, crowd;
@@ -110,6 +112,7 @@
   void launch(int relay);
   void check(int relay);
   void signalled(int relay);
+  void launch_later(int relay);
   ClientLinkPtr connect(int relay);
   void write(int relay, const ClientLinkPtr& link, const std::string& id, bool again);
   void answered(int relay, const ClientLinkPtr& link);
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -300,17 +300,17 @@
 class ClientsCrossings : public Crossings {
  protected:
   void open(std::size_t most = 8) {
-    clients =
-        std::make_unique<Clients>(loop, net::Address::parse("127.0.0.1:0"), most,
-                                  Clients::Host{.request =
-                                                    [this](Clients::Number n, http1::Message& m) {
-                                                      asked.push_back(m.target);
-                                                      if (hold)
-                                                        held.push_back(n);
-                                                      else
-                                                        clients->answer(n, 202, {}, {});
-                                                    },
-                                                .gone = [this](Clients::Number n) { gone.push_back(n); }});
+    clients = std::make_unique<Clients>(
+        loop, net::Address::parse("127.0.0.1:0"), most,
+        Clients::Host{.request =
+                          [this](Clients::Number n, http1::Message& m) {
+                            asked.push_back(m.target);
+                            if (hold)
+                              held.push_back(n);
+                            else
+                              clients->answer(n, 202, {}, {});
+                          },
+                      .gone = [this](Clients::Number n, Clients::Reads) { gone.push_back(n); }});
   }
   std::vector<std::string> asked;
   std::vector<Clients::Number> held, gone;
--- a/tests/platform_faults_test.cpp
+++ b/tests/platform_faults_test.cpp
@@ -74,10 +74,9 @@
     fleet.reply = [](const auto&, const auto&) { return Reply{Reply::What::refuse}; };
     const auto ids = hold(20);
     Control& faults = fleet.faults(0);
-    faults.kill_in_write = 20;  // a torn tail, which a start wants to clear
+    fleet.kill_in_write(0, 20);  // a torn tail, which a start wants to clear
     fleet.hand_in(0, true);
     fleet.run(100'000);
-    fleet.kill(0);
     faults.write_error = faults.create_error = faults.allocate_error = error;
     fleet.run(1'200'000);
     fleet.reply = [](const auto&, const auto&) { return Reply{}; };
