--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -1,12 +1,10 @@
 #include "platform/journal.hpp"
 
-#include <signal.h>
-#include <time.h>
-
 #include <algorithm>
 #include <stdexcept>
 
 #include "node/clock.hpp"
+#include "platform/startup.hpp"
 #include "store/inspect.hpp"
 
 namespace cedarplank::platform {
@@ -21,26 +19,10 @@
 constexpr std::uint64_t kFewestFiles = 6;
 constexpr std::size_t kRecordMore = 2048;  // bytes of a message's record beside its body
 constexpr Time kRetryEvery = 20'000;       // while the folder can't be written
-// While it can't be read at a start. "Nine in ten restarted relays are ready within 10 s" (STANDING).
-constexpr Time kOpenWithin = 8'000'000, kOpenEvery = 50'000;
-
-// Errors of the system that may pass, where trying again is of use.
-bool may_pass(const std::error_code& error) {
-  for (const auto e : {std::errc::no_space_on_device, std::errc::io_error, std::errc::too_many_files_open,
-                       std::errc::too_many_files_open_in_system, std::errc::not_enough_memory,
-                       std::errc::no_buffer_space, std::errc::interrupted})
-    if (error == e) return true;
-  return false;
-}
 
-// Waits before opening is tried again. False where the process was told to end meanwhile: those signals are
-// blocked until the relay stands (app/platform.cpp).
-bool pause_before_retry() {
-  const timespec pause{0, kOpenEvery * 1000};
-  nanosleep(&pause, nullptr);
-  sigset_t waiting;
-  sigpending(&waiting);
-  return sigismember(&waiting, SIGTERM) == 0 && sigismember(&waiting, SIGINT) == 0;
+void fail_if_unreadable(const store::LogProblem& problem) {
+  if (problem.what == store::LogProblem::What::io)
+    throw std::system_error(std::make_error_code(std::errc::io_error), problem.text);
 }
 
 }  // namespace
@@ -95,31 +77,26 @@
 // ---- taking over ----
 
 void Journal::open_folder() {
-  for (Time waited = 0;; waited += kOpenEvery) {
-    try {
-      files_ = store::open_folder(settings_.folder, store::Folder::existing);
-      return;
-    } catch (const std::system_error& e) {
-      if (waited == 0) log_line_("the folder can't be opened: " + std::string(e.what()));
-      if (!may_pass(e.code()) || waited >= kOpenWithin || !pause_before_retry())
-        throw std::runtime_error("journal: " + std::string(e.what()));
-    }
+  try {
+    retry_at_start([this] { files_ = store::open_folder(settings_.folder, store::Folder::existing); },
+                   [this](const std::string& why) { log_line_("the folder can't be opened: " + why); });
+  } catch (const std::system_error& e) {
+    throw std::runtime_error("journal: " + std::string(e.what()));
   }
 }
 
 // Guards against an error of the system that is taken for damage: it is waited out, and no file is changed.
 void Journal::open_log(journal::Image& image) {
-  for (Time waited = 0;; waited += kOpenEvery) {
-    const std::string problem = read_log(image);
-    if (problem.empty()) return;
-    if (waited == 0) log_line_("can't be read now: " + problem);
-    if (waited >= kOpenWithin || !pause_before_retry())
-      throw std::runtime_error("journal: " + settings_.folder + ": " + problem);
+  try {
+    retry_at_start([&] { read_log(image); },
+                   [this](const std::string& why) { log_line_("can't be read now: " + why); });
+  } catch (const std::system_error& e) {
+    throw std::runtime_error("journal: " + settings_.folder + ": " + e.what());
   }
 }
 
-// Reads all that is there, damaged or not. Returns what the system said where it can't be read.
-std::string Journal::read_log(journal::Image& image) {
+// Reads all that is there, damaged or not. Throws std::system_error where the system can't read it now.
+void Journal::read_log(journal::Image& image) {
   image = {}, read_.clear();
   const auto id = static_cast<std::uint64_t>(node::clock_now().wall);
   log_ = std::make_unique<store::Log>(*files_, log_settings_, id);
@@ -137,15 +114,11 @@
     log_line_(
         std::to_string(opened.torn) +
         " bytes behind the last record are cleared: a commit that never ended, or a segment's earlier use");
-  if (opened.problem && opened.problem->what == store::LogProblem::What::io) return opened.problem->text;
-  if (opened.problem) damage = opened.problem->text;
-  if (damage.empty()) return {};
-  try {
-    salvage(image, damage);
-  } catch (const std::system_error& e) {
-    return e.what();
+  if (opened.problem) {
+    fail_if_unreadable(*opened.problem);
+    damage = opened.problem->text;
   }
-  return {};
+  if (!damage.empty()) salvage(image, damage);
 }
 
 // Guards against a damaged journal that would keep the relay from starting: what can be read is written anew
@@ -161,8 +134,7 @@
         if (journal::decode(bytes, r).empty()) image.apply(s, r);
       },
       store::Unreadable::problem);
-  if (found.problem && found.problem->what == store::LogProblem::What::io)
-    throw std::system_error(std::make_error_code(std::errc::io_error), found.problem->text);
+  if (found.problem) fail_if_unreadable(*found.problem);
   log_line_("damaged: " + problem + "; " + std::to_string(found.records) + " records could be read, " +
             std::to_string(found.lost.size()) + " gaps; " + std::to_string(image.held().size()) +
             " messages are taken over");
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -70,7 +70,7 @@
  private:
   void open_folder();
   void open_log(journal::Image& image);
-  std::string read_log(journal::Image& image);
+  void read_log(journal::Image& image);
   void salvage(journal::Image& image, const std::string& problem);
   journal::Sequence append(std::string bytes);
   std::error_code write_out();
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -6,6 +6,7 @@
 
 #include "node/clock.hpp"
 #include "platform/semantics.hpp"
+#include "platform/startup.hpp"
 
 namespace cedarplank::platform {
 namespace {
@@ -71,10 +72,17 @@
                           },
                       .log = [this](const std::string& text) { log_.say(Event::discovery, text); },
                       .unix_to_module = [this] { return unix_to_module(); }});
-  peers_ = std::make_unique<Peers>(loop_, config_, [this](int from, std::string body) {
-    core_->note(from, std::move(body));
-    poke();
-  });
+  const auto not_yet = [this](const std::string& why) {
+    log_.say(Event::state, "not listening yet: " + why);
+  };
+  retry_at_start(
+      [this] {
+        peers_ = std::make_unique<Peers>(loop_, config_, [this](int from, std::string body) {
+          core_->note(from, std::move(body));
+          poke();
+        });
+      },
+      not_yet);
   Journal::Settings j;
   j.folder = config_.state, j.disk = config_.limits.disk;
   j.keeper.classes = set.classes;
@@ -105,11 +113,15 @@
     core_->list_whole({}, true);
   }
   recover();
-  clients_ = std::make_unique<Clients>(
-      loop_, net::Address::parse(config_.listen), client_share(config_.limits, set.slots),
-      Clients::Host{.request = [this](Clients::Number n, http1::Message& r) { request(n, r); },
-                    .gone = [this](Clients::Number n, Clients::Reads reads) { gone(n, reads); },
-                    .log = [this](const std::string& text) { log_.say(Event::clients, text); }});
+  retry_at_start(
+      [&] {
+        clients_ = std::make_unique<Clients>(
+            loop_, net::Address::parse(config_.listen), client_share(config_.limits, set.slots),
+            Clients::Host{.request = [this](Clients::Number n, http1::Message& r) { request(n, r); },
+                          .gone = [this](Clients::Number n, Clients::Reads reads) { gone(n, reads); },
+                          .log = [this](const std::string& text) { log_.say(Event::clients, text); }});
+      },
+      not_yet);
   turn();
 }
 
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -136,7 +136,7 @@
         auto& log = at(relay).log;
         if (log.size() < kMostLog) log.push_back(line);
       });
-  r.ended_by_us = false, r.ready = false;
+  r.ended_by_us = false, r.ready = false, r.launches++;
   check(relay);
 }
 
@@ -183,6 +183,9 @@
 void Fleet::signalled(int relay) {
   Relay& r = at(relay);
   r.ended_by_us = true;
+  // Told to end again before it was ready: from now on the next start counts.
+  if (r.restart > 0 && judge.restarts[r.restart - 1].ready == 0)
+    judge.restarts[r.restart - 1].ready = loop::monotonic_now();
   judge.restarts.push_back({relay, loop::monotonic_now(), 0});
   r.restart = judge.restarts.size();
 }
@@ -212,8 +215,8 @@
   if (!at(relay).process || at(relay).ended_by_us) return;
   signalled(relay);
   at(relay).process->signal(SIGTERM);
-  loop.after(kKillAfter, [this, relay, alive = alive_] {
-    if (!*alive) return;
+  loop.after(kKillAfter, [this, relay, launch = at(relay).launches, alive = alive_] {
+    if (!*alive || at(relay).launches != launch) return;  // killed before that
     at(relay).process.reset();
     at(relay).ready = false;
     launch_later(relay);
@@ -239,6 +242,9 @@
 
 void Fleet::settle() {
   traffic(0);
+  reply = [](const auto&, const auto&) { return Reply{}; };
+  proxy_delay = [] { return Time{0}; };
+  discovery_up = true;
   for (auto& relay : relays_) {
     Control& c = *relay.control;
     c.write_error = c.create_error = c.allocate_error = c.rename_error = c.remove_error = c.read_error = 0;
@@ -296,7 +302,7 @@
     if (const auto it = judge.requests.find(id); it != judge.requests.end())
       it->second.calls.push_back({now, endpoint, ran});
   Server& server = *endpoints_.at(endpoint).server;
-  loop.after(how.after, [this, &server, how, ids, connection, alive = alive_] {
+  loop.after(how.after, [this, &server, how, ids, endpoint, connection, alive = alive_] {
     if (!*alive || !server.has(connection)) return;
     switch (how.what) {
       case Reply::What::hang:
@@ -306,6 +312,10 @@
       case Reply::What::refuse:
         return server.write(connection, http1::response(503, {}, {}, false));
       case Reply::What::told_wait:
+        if (const auto it = judge.requests.find(ids.front()); it != judge.requests.end()) {
+          const Time told = loop::monotonic_now();
+          judge.waits.push_back({endpoint, it->second.relay, told, told + how.wait});
+        }
         return server.write(
             connection, http1::response(429, {{"Retry-After", http1::seconds_text(how.wait)}}, {}, false));
       case Reply::What::error:
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -93,6 +93,7 @@
     Control* control = nullptr;
     std::unique_ptr<rig::Process> process;
     bool ended_by_us = true, ready = false, start_when_gone = false;
+    int launches = 0;
     std::size_t restart = 0;  // place in judge.restarts, plus one
     std::vector<std::string> log;
     std::vector<ClientLinkPtr> idle, crowd;
--- a/tests/faults/judge.cpp
+++ b/tests/faults/judge.cpp
@@ -52,6 +52,16 @@
         v.broken.push_back("sent after its end: " + what + ", " + r.ended_by + " at " + at(r.ended) +
                            ", call at " + call.endpoint + " at " + at(call.at));
     }
+    for (const auto& call : r.calls)
+      for (const auto& wait : waits) {
+        if (wait.endpoint != call.endpoint || wait.relay != r.relay) continue;
+        const bool restarted = std::any_of(restarts.begin(), restarts.end(), [&](const Restart& x) {
+          return x.relay == r.relay && x.signalled < call.at && x.ready > wait.told;
+        });
+        if (call.at > wait.told + kInFlight + lag && call.at < wait.until && !restarted)
+          v.broken.push_back("sent against a told wait: " + what + ", told at " + at(wait.told) + " until " +
+                             at(wait.until) + ", call at " + call.endpoint + " at " + at(call.at));
+      }
     if (runs > 1 && !r.repeatable)
       v.broken.push_back("ran twice: " + what + ", " + std::to_string(runs) + " times");
   }
--- a/tests/faults/judge.hpp
+++ b/tests/faults/judge.hpp
@@ -38,6 +38,13 @@
   Time signalled = 0, ready = 0;  // 0: not yet
 };
 
+// An endpoint told a relay to wait.
+struct ToldWait {
+  std::string endpoint;
+  int relay = 0;
+  Time told = 0, until = 0;
+};
+
 struct Verdict {
   std::vector<std::string> broken;
   std::size_t handed_in = 0, accepted = 0, refused = 0, unanswered = 0, delivered = 0, ended = 0;
@@ -50,6 +57,7 @@
  public:
   std::map<std::string, Request> requests;
   std::vector<Restart> restarts;
+  std::vector<ToldWait> waits;
   std::vector<std::string> crashes;
   Time lag = 0;    // longest time that the observer itself was held up
   Time began = 0;  // times are told from here
--- a/tests/platform_faults_test.cpp
+++ b/tests/platform_faults_test.cpp
@@ -87,5 +87,38 @@
   expect_rules_kept();
 }
 
+// "Fresh on every handing-in" (PROTOCOL), but a bad client sends the id of another's request, which may have
+// had its end by then.
+TEST_F(PlatformFaults, AnIdThatHadItsEndIsNotSentAgain) {
+  ASSERT_TRUE(fleet.start(0));
+  fleet.reply = [](const auto&, const auto&) { return Reply{Reply::What::error}; };
+  const auto ids = hold(20);
+  ASSERT_TRUE(fleet.until([&] { return fleet.end_of(ids[1]) != ""; }, 2'000'000)) << fleet.end_of(ids[1]);
+  fleet.run(200'000);
+  fleet.reply = [](const auto&, const auto&) { return Reply{}; };
+  for (int i = 0; i < 40; i++) fleet.repeat_an_ended_id(0);
+  fleet.run(500'000);
+  EXPECT_TRUE(fleet.logged(0, "turned_away"));
+  fleet.settle();
+  expect_rules_kept();
+}
+
+TEST_F(PlatformFaults, AStepOfTheWallClockOverAStartMovesNoDeadline) {
+  for (const std::int64_t step : {-7, 7, -3600, 3600}) {
+    ASSERT_TRUE(fleet.running(0) || fleet.start(0));
+    fleet.reply = [](const auto&, const auto&) { return Reply{Reply::What::refuse}; };
+    const auto ids = hold(10);
+    fleet.faults(0).hide_boot_id = 1;
+    fleet.faults(0).wall_shift += step * 1'000'000;
+    fleet.kill(0);
+    fleet.run(3'500'000);
+    for (const auto& id : ids) EXPECT_EQ(fleet.end_of(id).substr(0, 6), "notice") << id;
+    fleet.faults(0).hide_boot_id = 0;
+    EXPECT_GT(fleet.faults(0).hits, 0u);
+  }
+  fleet.settle();
+  expect_rules_kept();
+}
+
 }  // namespace
 }  // namespace cedarplank::testing::faults
