--- a/src/journal/recovery.cpp
+++ b/src/journal/recovery.cpp
@@ -4,10 +4,18 @@
 
 namespace cedarplank::journal {
 
+// Whether the monotonic clock has run on since. A boot id that could not be read says nothing: the clock
+// itself does then, since it begins anew with the machine. Guards against deadlines that go by a wall clock
+// that was stepped, where the machine is the same.
+static bool same_boot(const record::Base& before, const Clock& now, Time last_at) {
+  const bool unknown = before.boot.empty() || now.boot.empty();
+  return (unknown || before.boot == now.boot) && now.monotonic >= last_at;
+}
+
 record::Base begin(const Image& image, const Clock& now) {
   record::Base base{now.boot, now.monotonic, now.wall, image.next_id(), 0, image.base().run + 1};
   const auto& before = image.base();
-  if (before.run == 0 || (before.boot == now.boot && now.monotonic >= image.last_at())) return base;
+  if (before.run == 0 || same_boot(before, now, image.last_at())) return base;
   const Time then = before.monotonic + std::max<Time>(0, now.wall - before.wall);
   base.shift = now.monotonic - std::max(then, image.last_at());
   return base;
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "node/clock.hpp"
+#include "platform/ended_ids.hpp"
 #include "platform/startup.hpp"
 #include "store/inspect.hpp"
 
@@ -97,7 +98,7 @@
 
 // Reads all that is there, damaged or not. Throws std::system_error where the system can't read it now.
 void Journal::read_log(journal::Image& image) {
-  image = {}, read_.clear();
+  image = {}, read_.clear(), ended_before_.clear();
   const auto id = static_cast<std::uint64_t>(node::clock_now().wall);
   log_ = std::make_unique<store::Log>(*files_, log_settings_, id);
   std::string damage;
@@ -105,7 +106,7 @@
     journal::Record r;
     const auto why = journal::decode(bytes, r);
     if (why.empty())
-      image.apply(s, r);
+      note_end(r), image.apply(s, r);
     else if (damage.empty())
       damage = "record " + std::to_string(s) + " " + why;
     read_.emplace_back(s, bytes.size());
@@ -121,17 +122,24 @@
   if (!damage.empty()) salvage(image, damage);
 }
 
+void Journal::note_end(const journal::Record& record) {
+  const auto* answered = std::get_if<journal::record::Answered>(&record.what);
+  if (answered == nullptr || answered->owner.empty()) return;
+  ended_before_.push_back(answered->owner);
+  if (ended_before_.size() > EndedIds::kMost) ended_before_.pop_front();
+}
+
 // Guards against a damaged journal that would keep the relay from starting: what can be read is written anew
 // behind what is there, in one image, and the damaged segments go once that is durable. Started again before
 // that, it is read the same way again, since later records of a message count more than earlier ones.
 // Throws std::system_error where the system can't read a segment now.
 void Journal::salvage(journal::Image& image, const std::string& problem) {
-  image = {}, read_.clear();
+  image = {}, read_.clear(), ended_before_.clear();
   const auto found = store::salvage(
       *files_,
       [&](store::Sequence s, std::string_view bytes) {
         journal::Record r;
-        if (journal::decode(bytes, r).empty()) image.apply(s, r);
+        if (journal::decode(bytes, r).empty()) note_end(r), image.apply(s, r);
       },
       store::Unreadable::problem);
   if (found.problem) fail_if_unreadable(*found.problem);
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -169,6 +169,7 @@
   // Ends that may not have been told: told again, which does no harm.
   std::vector<journal::record::Answered> ended;
   for (const auto& [id, answer] : keeper.image().answers()) ended.push_back(answer.is);
+  for (const auto& name : journal_->ended_before()) ended_.add(now, name);
   for (const auto& a : ended) {
     if (a.verdict == journal::record::Verdict::served || a.owner.empty())
       keeper.handed_over(a.id);
@@ -223,6 +224,7 @@
   HandedIn in;
   if (const auto unfit = read_request(request, config_.names, in)) return answer(unfit->status, unfit->why);
   if (names_.count(in.id) > 0) return answer(409, "a message with this id is held");
+  if (ended_.has(loop_.now(), in.id)) return answer(409, "a message with this id had its end");
   if (core_->stopping()) return answer(503, "the relay is stopping");
   if (destinations_.count(in.message.destination) == 0)
     return answer(503, "no list has shown this destination");
@@ -301,11 +303,13 @@
 
 void Relay::served(MessageId id, const relay::Ending&) {
   const Held held = forget(id);
+  if (!held.name.empty()) ended_.add(loop_.now(), held.name);
   if (held.client != 0) clients_->answer(held.client, 200, {}, {});
   journal_->keeper().handed_over(id);
 }
 
-void Relay::log_end(const Held& held, const char* state, const relay::Account& account) {
+void Relay::note_end(const Held& held, const char* state, const relay::Account& account) {
+  ended_.add(loop_.now(), held.name);
   log_.line(Event::ended, [&] {
     return "id=" + held.name + " state=" + state + " told=" + (held.client == 0 ? "notice" : "answer") +
            " attempts=" + std::to_string(account.attempts) + " last=\"" + account.last + "\" why=\"" +
@@ -316,7 +320,7 @@
 void Relay::refused(MessageId id, Time come_back, const relay::Account& account) {
   const Held held = forget(id);
   if (held.name.empty()) return journal_->keeper().handed_over(id);  // its client left meanwhile
-  log_end(held, "returned", account);
+  note_end(held, "returned", account);
   if (held.client == 0) return outcomes_->add(id, returned_notice(held.name, come_back));
   std::vector<http1::Field> fields;
   if (come_back > 0) fields.push_back({"Retry-After", http1::seconds_text(come_back)});
@@ -327,7 +331,7 @@
 void Relay::failed(MessageId id, const relay::Account& account) {
   const Held held = forget(id);
   if (held.name.empty()) return journal_->keeper().handed_over(id);
-  log_end(held, "failed", account);
+  note_end(held, "failed", account);
   if (held.client == 0) return outcomes_->add(id, failed_notice(held.name));
   clients_->answer(held.client, 500, {}, "failed\n");
   journal_->keeper().handed_over(id);
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -13,6 +13,7 @@
 #include "platform/clients.hpp"
 #include "platform/config.hpp"
 #include "platform/discovery.hpp"
+#include "platform/ended_ids.hpp"
 #include "platform/endpoints.hpp"
 #include "platform/event_log.hpp"
 #include "platform/journal.hpp"
@@ -57,7 +58,7 @@
   void request(Clients::Number client, http1::Message& request);
   void gone(Clients::Number client, Clients::Reads reads);
   void answer_withdrawn();
-  void log_end(const Held& held, const char* state, const relay::Account& account);
+  void note_end(const Held& held, const char* state, const relay::Account& account);
   void list(const Catalogue& catalogue, bool cached);
   void recover();
   void poke();
@@ -86,6 +87,7 @@
   std::unique_ptr<Clients> clients_;
   std::map<MessageId, Held> held_;
   std::map<std::string, MessageId> names_;
+  EndedIds ended_;
   std::map<Clients::Number, MessageId> waiting_clients_;
   std::vector<Waiting> waiting_;
   std::vector<Withdrawn> withdrawn_;      // to be answered
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -76,6 +76,7 @@
     return relays_.at(static_cast<std::size_t>(relay)).log;
   }
   bool logged(int relay, const std::string& text) const;
+  bool ready(int relay) { return relays_.at(static_cast<std::size_t>(relay)).ready; }
   bool running(int relay) { return relays_.at(static_cast<std::size_t>(relay)).process != nullptr; }
 
  private:
--- a/tests/platform_faults_test.cpp
+++ b/tests/platform_faults_test.cpp
@@ -99,6 +99,9 @@
   for (int i = 0; i < 40; i++) fleet.repeat_an_ended_id(0);
   fleet.run(500'000);
   EXPECT_TRUE(fleet.logged(0, "turned_away"));
+  fleet.kill(0);  // known over a start too
+  ASSERT_TRUE(fleet.until([&] { return fleet.ready(0); }, 5'000'000));
+  for (int i = 0; i < 40; i++) fleet.repeat_an_ended_id(0);
   fleet.settle();
   expect_rules_kept();
 }
