--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -58,8 +58,11 @@
       endpoint.server = std::make_unique<Server>(
           loop, [this, id](const http1::Message& m, int n) { return called(id, m, n); });
       if (settings_.proxied)
-        endpoint.proxy =
-            std::make_unique<Proxy>(loop, endpoint.server->address(), [this] { return proxy_delay(); });
+        endpoint.proxy = std::make_unique<Proxy>(loop, endpoint.server->address(), [this] {
+          const Time held = proxy_delay();
+          judge.held_on_the_way = std::max(judge.held_on_the_way, held);
+          return held;
+        });
     }
   relays_.resize(static_cast<std::size_t>(settings_.relays));
   for (int r = 0; r < settings_.relays; r++) {
--- a/tests/faults/judge.cpp
+++ b/tests/faults/judge.cpp
@@ -26,6 +26,7 @@
 Verdict Judge::verdict(Time now) const {
   Verdict v;
   v.broken = crashes;
+  const Time in_flight = kInFlight + lag + held_on_the_way;
   const auto at = [&](Time t) { return std::to_string((t - began) / 1000) + " ms"; };
   for (const auto& restart : restarts)
     if ((restart.ready == 0 ? now : restart.ready) - restart.signalled > kReadyWithin + lag)
@@ -48,7 +49,7 @@
     for (const auto& call : r.calls) {
       runs += call.ran;
       // What is sent under an id whose client gave up counts for nothing (PROTOCOL, clients to relays).
-      if (r.ended > 0 && !r.abandoned && call.at > r.ended + kInFlight + lag)
+      if (r.ended > 0 && !r.abandoned && call.at > r.ended + in_flight)
         v.broken.push_back("sent after its end: " + what + ", " + r.ended_by + " at " + at(r.ended) +
                            ", call at " + call.endpoint + " at " + at(call.at));
     }
@@ -58,7 +59,7 @@
         const bool restarted = std::any_of(restarts.begin(), restarts.end(), [&](const Restart& x) {
           return x.relay == r.relay && x.signalled < call.at && x.ready > wait.told;
         });
-        if (call.at > wait.told + kInFlight + lag && call.at < wait.until && !restarted)
+        if (call.at > wait.told + in_flight && call.at < wait.until && !restarted)
           v.broken.push_back("sent against a told wait: " + what + ", told at " + at(wait.told) + " until " +
                              at(wait.until) + ", call at " + call.endpoint + " at " + at(call.at));
       }
--- a/tests/faults/judge.hpp
+++ b/tests/faults/judge.hpp
@@ -59,7 +59,9 @@
   std::vector<Restart> restarts;
   std::vector<ToldWait> waits;
   std::vector<std::string> crashes;
-  Time lag = 0;    // longest time that the observer itself was held up
+  Time lag = 0;  // longest time that the observer itself was held up
+  // Longest time that a proxy held the bytes of a call: it left the relay so much earlier than it arrived.
+  Time held_on_the_way = 0;
   Time began = 0;  // times are told from here
 
   Verdict verdict(Time now) const;
