Endpoints: an endpoint's last idle connection found closed is no read of freed memory

Change: the place is looked up anew for each connection; a test that closes the last idle one before the next call.

--- a/src/platform/endpoints.cpp
+++ b/src/platform/endpoints.cpp
@@ -131,8 +131,8 @@
 
 // The one used last: the others come to their idle time sooner.
 Endpoints::LinkPtr Endpoints::idle_link(const EndpointId& endpoint, const std::string& address) {
-  const auto it = idle_.find(endpoint);
-  while (it != idle_.end() && !it->second.empty()) {
+  // Looked up anew each time: drop() takes an endpoint's last idle connection off with its place.
+  for (auto it = idle_.find(endpoint); it != idle_.end() && !it->second.empty(); it = idle_.find(endpoint)) {
     const LinkPtr link = it->second.back();
     it->second.pop_back();
     // Guards against a connection closed or answered on since the loop last looked: a call written to it
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -152,6 +152,20 @@
   }
 }
 
+// The last idle connection of an endpoint closes, and the next call comes before the loop has looked.
+TEST_F(EndpointsCrossings, TheLastIdleConnectionFoundClosedGivesWayToANewOne) {
+  add("s-1", 7);
+  open();
+  keep_one_connection();
+  endpoints.at("s-1").server->down();
+  endpoints.at("s-1").server->again();
+  order(2, "second", 1'000'000);
+  transport->flush();
+  ASSERT_TRUE(until([&] { return ends.count(2) > 0; }));
+  EXPECT_EQ(ends[2].outcome, Outcome::served);
+  EXPECT_EQ(transport->counts().stale, 1u);
+}
+
 // An answer that is there before the call is whole is none to it, whatever it says: nothing has run.
 TEST_F(EndpointsCrossings, AnAnswerAheadOfTheLastByteServesNothing) {
   std::vector<std::unique_ptr<net::TcpStream>> accepted;
