--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -129,6 +129,7 @@
   ~Listener();
   Address address() const { return Address::of_socket(fd_.get()); }
   void pause(bool paused);
+  int descriptor() const { return fd_.get(); }
 
  private:
   loop::Loop& loop_;
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -20,6 +20,7 @@
 constexpr Time kCheckEvery = 20'000;
 constexpr int kFirstGroup = 7;
 constexpr std::size_t kMostLog = 20'000;  // lines
+constexpr std::size_t kMostRecent = 200;  // requests
 
 // Addresses of the relays: of this process alone, so that tests may run side by side.
 std::string relay_address(int relay) {
@@ -58,9 +59,9 @@
       endpoint.server = std::make_unique<Server>(
           loop, [this, id](const http1::Message& m, int n) { return called(id, m, n); });
       if (settings_.proxied)
-        endpoint.proxy = std::make_unique<Proxy>(loop, endpoint.server->address(), [this] {
-          const Time held = proxy_delay();
-          judge.held_on_the_way = std::max(judge.held_on_the_way, held);
+        endpoint.proxy = std::make_unique<Proxy>(loop, endpoint.server->address(), [this, id] {
+          const Time held = proxy_delay(), now = loop::monotonic_now();
+          if (held > 0) judge.holds.push_back({id, now, now + held});
           return held;
         });
     }
@@ -254,6 +255,8 @@
   traffic(0);
   reply = [](const auto&, const auto&) { return Reply{}; };
   proxy_delay = [] { return Time{0}; };
+  client_break = [] { return std::nullopt; };
+  hedged = 0;
   discovery_up = true;
   for (auto& relay : relays_) {
     Control& c = *relay.control;
@@ -306,8 +309,16 @@
     ids = bulk_ids(m.body);
   else if (const auto* id = header(m, "x-call-id"))
     ids.push_back(*id);
-  const Reply how = reply(endpoint, ids.empty() ? std::string() : ids.front());
-  const bool ran = how.what != Reply::What::refuse && how.what != Reply::What::told_wait;
+  Reply how = reply(endpoint, ids.empty() ? std::string() : ids.front());
+  if (const auto it = judge.requests.find(ids.empty() ? std::string() : ids.front());
+      settings_.endpoints_know_ends && it != judge.requests.end() &&
+      (it->second.ended > 0 || it->second.abandoned))
+    how = {Reply::What::over};
+  using What = Reply::What;
+  const bool ran = how.what != What::refuse && how.what != What::told_wait && how.what != What::over &&
+                   how.what != What::exhausted;
+  if (m.target == "/inbox" && m.body != settings_.body)
+    judge.crashes.push_back("another request's body was sent under the id " + ids.front());
   for (const auto& id : ids)
     if (const auto it = judge.requests.find(id); it != judge.requests.end())
       it->second.calls.push_back({now, endpoint, ran});
@@ -330,6 +341,14 @@
             connection, http1::response(429, {{"Retry-After", http1::seconds_text(how.wait)}}, {}, false));
       case Reply::What::error:
         return server.write(connection, http1::response(500, {}, {}, false));
+      case Reply::What::over:
+      case Reply::What::exhausted: {
+        const auto it = judge.requests.find(ids.front());
+        if (it != judge.requests.end() && it->second.said_over == 0)
+          it->second.said_over = loop::monotonic_now();
+        const int status = how.what == Reply::What::over ? 410 : 504;
+        return server.write(connection, http1::response(status, {}, {}, false));
+      }
       case Reply::What::ok:
         break;
     }
@@ -367,8 +386,9 @@
   return link;
 }
 
-void Fleet::write(int relay, const ClientLinkPtr& link, const std::string& id, bool again) {
-  const Request& request = judge.requests.at(id);
+void Fleet::write(int relay, const ClientLinkPtr& link, const std::string& id) {
+  Request& request = judge.requests.at(id);
+  request.copies++;
   const Time left = std::max<Time>(1'000, request.deadline - loop::monotonic_now());
   link->id = id, link->requests++;
   link->stream->write(http1::request("POST", request.repeatable ? "/status" : "/order", "backend.local",
@@ -376,13 +396,21 @@
                                       {"X-Caller", "acme"},
                                       {"X-Budget", http1::seconds_text(left)},
                                       {"X-Route-To", "dest=" + std::to_string(request.destination)}},
-                                     again ? "again" : "hello"));
+                                     settings_.body));
   link->timer = loop.after(kClientWaits, [this, relay, link] {
     link->timer = 0;
-    judge.requests.at(link->id).abandoned = true;
+    Request& late = judge.requests.at(link->id);
+    late.abandoned = late.answers.empty();
     link->id.clear();
     release(relay, link);
   });
+  if (const auto after = client_break())
+    loop.after(*after, [this, id, weak = std::weak_ptr(link), relay, alive = alive_] {
+      const auto l = weak.lock();
+      if (!*alive || !l || l->id != id) return;
+      l->stream->close(true);
+      lost(relay, l, "reset by a fault");
+    });
 }
 
 std::string Fleet::hand_in(int relay, bool repeatable, int destination, const std::string& id) {
@@ -401,10 +429,59 @@
   } else {
     link = connect(relay);
   }
-  write(relay, link, request.id, false);
+  write(relay, link, request.id);
+  if (std::uniform_real_distribution<>()(random) < hedged) write(relay, connect(relay), request.id);
+  recent_ids_.push_back(request.id);
+  if (recent_ids_.size() > kMostRecent) recent_ids_.erase(recent_ids_.begin());
   return request.id;
 }
 
+Fleet::ClientLinkPtr Fleet::waiting_link(const std::string& id) {
+  for (const auto& [raw, link] : at(judge.requests.at(id).relay).busy)
+    if (link->id == id) return link;
+  return nullptr;
+}
+
+void Fleet::break_client_of(const std::string& id) {
+  const auto link = waiting_link(id);
+  if (!link) return;
+  link->stream->close(true);
+  lost(judge.requests.at(id).relay, link, "reset");
+}
+
+void Fleet::repeat(const std::string& id) {
+  const int relay = judge.requests.at(id).relay;
+  if (!running(relay)) return;
+  const auto link = connect(relay);
+  link->once = true;
+  write(relay, link, id);
+}
+
+void Fleet::repeat_a_recent_one(int relay) {
+  if (recent_ids_.empty()) return;
+  const auto id = recent_ids_[random() % recent_ids_.size()];
+  const Request& request = judge.requests.at(id);
+  // An id that an earlier process refused may come again: see launch().
+  const bool refused = !request.answers.empty() && request.answers.front().refuses();
+  if (request.relay == relay && !refused) repeat(id);
+}
+
+void Fleet::misuse_the_id_of(const std::string& id, std::function<void(int)> answered) {
+  const Request& request = judge.requests.at(id);
+  if (!request.accepted() || !running(request.relay)) return answered(0);
+  const auto link = connect(request.relay);
+  link->done = std::move(answered), link->once = true;
+  link->stream->write(http1::request("POST", request.repeatable ? "/status" : "/order", "backend.local",
+                                     {{"X-Call-Id", id},
+                                      {"X-Caller", "acme"},
+                                      {"X-Budget", "1.0"},
+                                      {"X-Route-To", "dest=" + std::to_string(request.destination)},
+                                      {"Connection", "close"}},
+                                     settings_.body + ", of another"));
+}
+
+void Fleet::deafen(const std::string& endpoint, bool deaf) { endpoints_.at(endpoint).server->deafen(deaf); }
+
 void Fleet::answered(int relay, const ClientLinkPtr& link) {
   const int status = link->reader.message().status;
   const bool close = link->reader.message().close;
@@ -419,18 +496,21 @@
   link->id.clear();
   if (it != judge.requests.end()) {
     Request& request = it->second;
-    request.status = status, request.answered = loop::monotonic_now();
-    if (!request.accepted() && request.ended == 0) {
-      request.ended = request.answered, request.ended_by = "answer " + std::to_string(status);
-      if (status == 503) ended_ids_.push_back(request.id);
+    const Answer answer{loop::monotonic_now(), status};
+    if (request.status == 0) request.status = status;
+    request.answers.push_back(answer);
+    if (!answer.accepts() && request.ended == 0) {
+      request.ended = answer.at, request.ended_by = "answer " + std::to_string(status);
+      if (answer.refuses()) ended_ids_.push_back(request.id);
     }
   }
-  if (close) return release(relay, link);
+  if (close || link->once) return release(relay, link);
   at(relay).busy.erase(link.get());
   at(relay).idle.push_back(link);
 }
 
-// A request that crosses the end of a kept connection is sent once more on a new one (PROTOCOL).
+// A request that crosses the end of its connection is sent once more on a new one (PROTOCOL). Its client
+// can't tell whether it was read, so it does so wherever its connection ends with no answer.
 void Fleet::lost(int relay, const ClientLinkPtr& link, const std::string&) {
   std::erase(at(relay).idle, link);
   std::erase(at(relay).crowd, link);
@@ -438,11 +518,22 @@
   loop.cancel(link->timer), link->timer = 0;
   if (link->done) return std::exchange(link->done, nullptr)(0);
   if (link->id.empty()) return;
-  Request& request = judge.requests.at(link->id);
-  const bool taken = !request.calls.empty();
-  const bool alive = at(relay).process != nullptr && at(relay).process->running();
-  if (link->requests > 1 && alive && !taken) return write(relay, connect(relay), request.id, true);
-  request.abandoned = true;
+  const auto id = std::exchange(link->id, {});
+  send_once_more(id);
+}
+
+// At once, or, where its relay is not there, when it is there again.
+void Fleet::send_once_more(const std::string& id) {
+  Request& request = judge.requests.at(id);
+  if (request.copies > 1 || loop::monotonic_now() > request.deadline) {
+    request.abandoned = request.answers.empty();
+    return;
+  }
+  Relay& r = at(request.relay);
+  if (r.process && r.process->running() && r.ready) return write(request.relay, connect(request.relay), id);
+  loop.after(kCheckEvery, [this, id, alive = alive_] {
+    if (*alive) send_once_more(id);
+  });
 }
 
 void Fleet::release(int relay, const ClientLinkPtr& link) {
@@ -486,15 +577,7 @@
   const auto id = ended_ids_[random() % ended_ids_.size()];
   const Request& request = judge.requests.at(id);
   if (request.relay != relay) return;
-  const auto link = connect(relay);
-  link->done = [](int) {};
-  link->stream->write(http1::request("POST", request.repeatable ? "/status" : "/order", "backend.local",
-                                     {{"X-Call-Id", id},
-                                      {"X-Caller", "acme"},
-                                      {"X-Budget", "1.0"},
-                                      {"X-Route-To", "dest=" + std::to_string(request.destination)},
-                                      {"Connection", "close"}},
-                                     "again"));
+  repeat(id);
 }
 
 std::string Fleet::end_of(const std::string& id) const {
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,11 +28,14 @@
   int slots = 16;
   bool proxied = false;      // connections to endpoints pass a proxy that may hold them
   bool routes_apart = true;  // each endpoint has a limit of its own
+  std::string body = "hello";
+  // Endpoints answer 410 to a call of a message that had its end, or that its client has given up.
+  bool endpoints_know_ends = false;
 };
 
 // What an endpoint does with a call.
 struct Reply {
-  enum class What { ok, refuse, told_wait, error, hang, reset } what = What::ok;
+  enum class What { ok, refuse, told_wait, error, hang, reset, over, exhausted } what = What::ok;
   Time after = 5'000;
   Time wait = 0;  // told, where What::told_wait
 };
@@ -48,6 +52,10 @@
   std::function<Reply(const std::string& endpoint, const std::string& id)> reply =
       [](const auto&, const auto&) { return Reply{}; };
   std::function<Time()> proxy_delay = [] { return Time{0}; };
+  // Asked for each request that is written: after so long its client's connection is reset; nothing: it
+  // isn't.
+  std::function<std::optional<Time>()> client_break = [] { return std::nullopt; };
+  double hedged = 0;  // share of requests whose client sends a second copy at once, on another connection
   bool discovery_up = true;
 
   Control& faults(int relay) { return *relays_.at(static_cast<std::size_t>(relay)).control; }
@@ -71,6 +79,16 @@
   void crowd(int relay, int connections);
   // Hands in again the id of a request that has had its end.
   void repeat_an_ended_id(int relay);
+  // One more copy of a request, whatever became of it, on a connection of its own.
+  void repeat(const std::string& id);
+  void repeat_a_recent_one(int relay);
+  // Another request under the id of one that was taken on; its sender's answer says nothing of that one.
+  void misuse_the_id_of(
+      const std::string& id, std::function<void(int)> answered = [](int) {});
+  // Resets the connection on which its client waits; the client then sends it once more.
+  void break_client_of(const std::string& id);
+  // The endpoint accepts connections and reads nothing from them.
+  void deafen(const std::string& endpoint, bool deaf);
   std::string end_of(const std::string& id) const;  // "delivered", "notice returned", ...; empty: none
   const std::vector<std::string>& log(int relay) const {
     return relays_.at(static_cast<std::size_t>(relay)).log;
@@ -86,6 +104,7 @@
     std::string id;  // of the request that is open
     loop::TimerId timer = 0;
     int requests = 0;
+    bool once = false;              // ends with its answer
     std::function<void(int)> done;  // for what is no message: its status, 0 where the connection ended
   };
   using ClientLinkPtr = std::shared_ptr<ClientLink>;
@@ -116,8 +135,10 @@
   void signalled(int relay);
   void launch_later(int relay);
   ClientLinkPtr connect(int relay);
-  void write(int relay, const ClientLinkPtr& link, const std::string& id, bool again);
+  void write(int relay, const ClientLinkPtr& link, const std::string& id);
   void answered(int relay, const ClientLinkPtr& link);
+  void send_once_more(const std::string& id);
+  ClientLinkPtr waiting_link(const std::string& id);
   void lost(int relay, const ClientLinkPtr& link, const std::string& why);
   void release(int relay, const ClientLinkPtr& link);
   void next_request(int relay);
@@ -127,7 +148,7 @@
   std::vector<Relay> relays_;
   std::map<std::string, Endpoint> endpoints_;
   std::unique_ptr<Server> discovery_;
-  std::vector<std::string> ended_ids_;
+  std::vector<std::string> ended_ids_, recent_ids_;
   double per_second_ = 0, unsafe_share_ = 0;
   std::uint64_t traffic_run_ = 0;
   int next_id_ = 0;
--- a/tests/http1_server.hpp
+++ b/tests/http1_server.hpp
@@ -1,6 +1,8 @@
 // An HTTP/1.1 server of the tests' own on loopback, in the loop of whoever runs it.
 #pragma once
 
+#include <sys/socket.h>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +37,12 @@
   // The next try of each, a second after its first, comes through.
   void let_in() { listener_->pause(false); }
   void write(int connection, const std::string& bytes) { links_.at(connection)->stream->write(bytes); }
+  // Accepts connections and reads nothing; what it has not read waits in small buffers.
+  void deafen(bool deaf) {
+    deaf_ = deaf;
+    if (deaf) listener_.reset(), listen(address_);
+    for (auto& [n, link] : links_) link->stream->pause_reading(deaf);
+  }
   bool has(int connection) const { return links_.count(connection) > 0; }
   void reset(int connection) {
     if (!has(connection)) return;
@@ -69,9 +77,11 @@
                                         },
                                     .drained = {},
                                     .closed = [this, n](const std::string&) { drop(n); }});
+          if (deaf_) link->stream->pause_reading(true);
           links_[n] = std::move(link);
         },
         backlog);
+    if (deaf_) setsockopt(listener_->descriptor(), SOL_SOCKET, SO_RCVBUF, &kSmall, sizeof kSmall);
     address_ = listener_->address().text();
   }
   void read(const std::shared_ptr<Link>& l, int n, std::string_view bytes) {
@@ -97,6 +107,8 @@
     links_.erase(it);
   }
   loop::Loop& loop_;
+  static constexpr int kSmall = 4096;  // bytes
+  bool deaf_ = false;
   On on_;
   std::string address_;
   std::unique_ptr<net::Listener> listener_;
