Log: turned-away and repeated requests by id; ids of lines left out are told

Cause: the line on a request turned away was written after its answer, which clears the request it reads: the id was empty in every line. A request under a known id had no line of its own, and 12 lines a second of a kind left out what was looked for. Change: the line comes first; 'repeated' tells what was known of an id and the answer; left_out names the ids of its lines, 1,024 bytes a line at most.

--- a/src/platform/attempt_log.cpp
+++ b/src/platform/attempt_log.cpp
@@ -25,26 +25,25 @@
   return "unknown";
 }
 
-std::string text_of(const std::string& name, int attempt, const EndpointId& endpoint) {
-  return "id=" + name + " attempt=" + std::to_string(attempt) + " endpoint=" + endpoint;
+std::string text_of(int attempt, const EndpointId& endpoint) {
+  return "attempt=" + std::to_string(attempt) + " endpoint=" + endpoint;
 }
 
 }  // namespace
 
 void AttemptLog::send(const relay::CallOrder& call) {
   if (call.attempt > 0 || followed_.count(call.message_id) > 0)
-    log_.line(Event::retry, [&] {
-      return text_of(call.message->owner, call.attempt, call.endpoint) +
-             " left_ms=" + std::to_string(call.time_left / 1000);
+    log_.line(Event::retry, call.message->owner, [&] {
+      return text_of(call.attempt, call.endpoint) + " left_ms=" + std::to_string(call.time_left / 1000);
     });
   keeper_.send(call);
 }
 
 void AttemptLog::ended(const relay::CallOrder& call, const relay::Ending& ending) {
   if (ending.outcome != Outcome::served || followed_.count(call.message_id) > 0)
-    log_.line(Event::attempt, [&] {
-      std::string text = text_of(name_of_(call.message_id), call.attempt, call.endpoint) +
-                         " outcome=" + name_of(ending.outcome) + " why=\"" + ending.what + "\"";
+    log_.line(Event::attempt, name_of_(call.message_id), [&] {
+      std::string text = text_of(call.attempt, call.endpoint) + " outcome=" + name_of(ending.outcome) +
+                         " why=\"" + ending.what + "\"";
       if (ending.told_wait > 0) text += " wait_ms=" + std::to_string(ending.told_wait / 1000);
       return text;
     });
--- a/src/platform/event_log.cpp
+++ b/src/platform/event_log.cpp
@@ -20,6 +20,8 @@
       return "journal";
     case Event::turned_away:
       return "turned_away";
+    case Event::repeated:
+      return "repeated";
     case Event::withdrawn:
       return "withdrawn";
     case Event::attempt:
@@ -45,11 +47,17 @@
   if (second != share.second) {
     share.second = second, share.lines = 0;
     if (const auto left_out = std::exchange(share.left_out, 0); left_out > 0)
-      sink_("left_out", std::to_string(left_out) + " lines of " + name_of(event));
+      sink_("left_out",
+            std::to_string(left_out) + " lines of " + name_of(event) + std::exchange(share.ids, {}));
   }
   if (share.lines >= kLinesPerSecond) return share.left_out++, false;
   share.lines++;
   return true;
 }
 
+void EventLog::leave_out(Event event, const std::string& id) {
+  std::string& ids = shares_[event].ids;
+  if (ids.size() + id.size() + 1 <= kIdsLeftOut) ids += " " + id;
+}
+
 }  // namespace cedarplank::platform
--- a/src/platform/event_log.hpp
+++ b/src/platform/event_log.hpp
@@ -1,6 +1,6 @@
 // The relay's record of what it did and why: one line an event, with the client's id of the message where
 // there is one. Bounded in lines a second, each kind of event by itself, so that a flood of one kind hides no
-// other.
+// other. Of lines that are left out the ids are told, as far as they fit into one line.
 #pragma once
 
 #include <cstdint>
@@ -21,6 +21,7 @@
   outcomes,     // a post of notices was not accepted
   journal,      // the journal's state changed
   turned_away,  // a request was not taken on
+  repeated,     // a request under an id that is known: what is known, and the answer
   withdrawn,    // its client left before it heard that it was taken on
   attempt,      // an attempt ended without having been served
   retry,        // a later attempt of a message, or any of one that an earlier run took on
@@ -41,19 +42,30 @@
   void line(Event event, Text&& text) {
     if (admit(event)) sink_(name_of(event), text());
   }
+  // Of the message that its client names so; begins with that name.
+  template <typename Text>
+  void line(Event event, const std::string& id, Text&& text) {
+    if (admit(event))
+      sink_(name_of(event), "id=" + id + " " + text());
+    else
+      leave_out(event, id);
+  }
   void say(Event event, const std::string& text) {
     line(event, [&]() -> const std::string& { return text; });
   }
 
-  static constexpr int kLinesPerSecond = 12;  // of each kind
+  static constexpr int kLinesPerSecond = 12;         // of each kind
+  static constexpr std::size_t kIdsLeftOut = 1'024;  // bytes of ids in a line on what was left out
 
  private:
   struct Share {
     std::int64_t second = 0;
     int lines = 0;
     std::uint64_t left_out = 0;  // since the last line of this kind
+    std::string ids;             // of those
   };
   bool admit(Event event);
+  void leave_out(Event event, const std::string& id);
 
   Sink sink_;
   std::map<Event, Share> shares_;
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -159,8 +159,8 @@
     held_[m.id] = {m.message->owner, 0};
     names_[m.message->owner] = m.id;
     attempts_->follow(m.id);
-    log_.line(Event::recovered, [&] {
-      return "id=" + m.message->owner + " attempts=" + std::to_string(m.before.attempts) +
+    log_.line(Event::recovered, m.message->owner, [&] {
+      return "attempts=" + std::to_string(m.before.attempts) +
              " left_ms=" + std::to_string((m.deadline - now) / 1000) +
              (m.before.ran_zone >= 0 ? " may have run" : "");
     });
@@ -208,14 +208,14 @@
 
 void Relay::request(Clients::Number client, http1::Message& request) {
   const auto answer = [&](int status, const char* why) {
-    if (status >= 400) turned_away_[why]++;
+    if (status >= 400) {
+      turned_away_[why]++;
+      // First: the answer clears the request.
+      const auto* name = request.find("x-call-id");
+      log_.line(Event::turned_away, name == nullptr ? "-" : name->substr(0, kMostIdLogged),
+                [&] { return "status=" + std::to_string(status) + " why=\"" + why + "\""; });
+    }
     clients_->answer(client, status, {}, std::string(why) + "\n");
-    if (status >= 400)
-      log_.line(Event::turned_away, [&] {
-        const auto* name = request.find("x-call-id");
-        return "id=" + (name == nullptr ? std::string() : name->substr(0, kMostIdLogged)) +
-               " status=" + std::to_string(status) + " why=\"" + why + "\"";
-      });
   };
   if (path_of(request.target) == "/_health") {
     if (request.method != "GET") return answer(405, "only GET");
@@ -223,8 +223,12 @@
   }
   HandedIn in;
   if (const auto unfit = read_request(request, config_.names, in)) return answer(unfit->status, unfit->why);
-  if (names_.count(in.id) > 0) return answer(409, "a message with this id is held");
-  if (ended_.has(loop_.now(), in.id)) return answer(409, "a message with this id had its end");
+  const bool held = names_.count(in.id) > 0;
+  if (held || ended_.has(loop_.now(), in.id)) {
+    log_.line(Event::repeated, in.id,
+              [&] { return std::string("state=") + (held ? "held" : "ended") + " answer=409"; });
+    return answer(409, held ? "a message with this id is held" : "a message with this id had its end");
+  }
   // Refused is an end too.
   const auto refuse = [&](const char* why) {
     ended_.add(loop_.now(), in.id);
@@ -257,7 +261,7 @@
   }
   const MessageId id = it->second;
   const Held held = forget(id);
-  log_.line(Event::withdrawn, [&] { return "id=" + held.name; });
+  log_.line(Event::withdrawn, held.name, [&] { return std::string("before it was taken on"); });
   const auto fate = core_->withdraw(loop_.refresh(), id);
   if (reads == Clients::Reads::still) withdrawn_.push_back({client, fate});
   poke();
@@ -316,8 +320,8 @@
 
 void Relay::note_end(const Held& held, const char* state, const relay::Account& account) {
   ended_.add(loop_.now(), held.name);
-  log_.line(Event::ended, [&] {
-    return "id=" + held.name + " state=" + state + " told=" + (held.client == 0 ? "notice" : "answer") +
+  log_.line(Event::ended, held.name, [&] {
+    return std::string("state=") + state + " told=" + (held.client == 0 ? "notice" : "answer") +
            " attempts=" + std::to_string(account.attempts) + " last=\"" + account.last + "\" why=\"" +
            account.why + "\"";
   });
--- a/tests/event_log_test.cpp
+++ b/tests/event_log_test.cpp
@@ -20,5 +20,28 @@
   EXPECT_EQ(lines["journal"], 1);
 }
 
+// Under faults just the lines that are looked for fall out: their ids are told.
+TEST(EventLog, OfLinesThatAreLeftOutTheIdsAreTold) {
+  std::vector<std::string> left_out;
+  EventLog log([&](const char* event, const std::string& text) {
+    if (std::string(event) == "left_out") left_out.push_back(text);
+  });
+  const int lines = EventLog::kLinesPerSecond * 3;
+  const auto second = [] { return loop::monotonic_now() / 1'000'000; };
+  const auto wait_for_the_next = [&] {
+    for (const auto now = second(); second() == now;) {
+    }
+  };
+  wait_for_the_next();
+  for (int i = 0; i < lines; i++)
+    log.line(Event::ended, "m-" + std::to_string(i), [] { return std::string("state=failed"); });
+  wait_for_the_next();
+  log.line(Event::ended, "later", [] { return std::string("state=failed"); });
+  ASSERT_EQ(left_out.size(), 1u);
+  EXPECT_NE(left_out[0].find(" lines of ended m-"), std::string::npos) << left_out[0];
+  EXPECT_NE((left_out[0] + " ").find(" m-" + std::to_string(lines - 1) + " "), std::string::npos);
+  EXPECT_LT(left_out[0].size(), EventLog::kIdsLeftOut + 64);
+}
+
 }  // namespace
 }  // namespace cedarplank::platform
--- a/tests/platform_repeats_test.cpp
+++ b/tests/platform_repeats_test.cpp
@@ -1,5 +1,5 @@
-// Requests whose id is known already, as real processes on connections that break: what their clients hear, and
-// what the log tells of them.
+// Requests whose id is known already, as real processes on connections that break: what their clients hear,
+// and what the log tells of them.
 #include <gtest/gtest.h>
 #include <rapidjson/document.h>
 
