Platform: one registry answers for each id; a copy hears what is true of its request

Cause: Relay::request() answered a copy of a held request with 409, which tells its client that the request has failed, and went on sending the first one. What was known of an id stood in four containers, and of an end only that there had been one. Change: RequestRegistry owns it with named states; copies of a waiting request share its word, of an accepted one hear 202, of an ended one its end, over starts too; another content under a used id hears 409. Tests: Platform.AnIdThatIsHeldIsNotTakenTwice wanted the 409 that is the fault; it wants 202, one call and 409 for other content now. AnIdThatHadItsEndIsNotSentAgain reads 'repeated' lines in place of 'turned_away'; its judge is stricter than before.

--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -4,7 +4,7 @@
 #include <stdexcept>
 
 #include "node/clock.hpp"
-#include "platform/ended_ids.hpp"
+#include "platform/request_registry.hpp"
 #include "platform/startup.hpp"
 #include "store/inspect.hpp"
 
@@ -125,8 +125,9 @@
 void Journal::note_end(const journal::Record& record) {
   const auto* answered = std::get_if<journal::record::Answered>(&record.what);
   if (answered == nullptr || answered->owner.empty()) return;
-  ended_before_.push_back(answered->owner);
-  if (ended_before_.size() > EndedIds::kMost) ended_before_.pop_front();
+  ended_before_.push_back(
+      {answered->owner, answered->fingerprint, answered->verdict, record.at, answered->come_back});
+  if (ended_before_.size() > RequestRegistry::kMost) ended_before_.pop_front();
 }
 
 // Guards against a damaged journal that would keep the relay from starting: what can be read is written anew
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -66,8 +66,14 @@
   // finishes what was.
   const char* no_room(std::size_t body) const;
   std::uint64_t bytes() const { return keeper_->written(); }
-  // As their clients name them: messages that had their end in earlier runs, as far as the log goes back.
-  const std::deque<std::string>& ended_before() const { return ended_before_; }
+  // Ends of messages in earlier runs, as far as the log goes back, oldest first.
+  struct EndedBefore {
+    std::string owner;  // as its client names it
+    std::uint64_t fingerprint = 0;
+    journal::record::Verdict verdict = journal::record::Verdict::failed;
+    Time at = 0, come_back = 0;  // `come_back` from then on
+  };
+  const std::deque<EndedBefore>& ended_before() const { return ended_before_; }
   const Counts& counts() const { return counts_; }
 
   // How a bound is shared out: bytes a segment, and how many.
@@ -92,7 +98,7 @@
   Log log_line_;
   std::unique_ptr<store::Files> files_;
   std::unique_ptr<store::Log> log_;
-  std::deque<std::string> ended_before_;
+  std::deque<EndedBefore> ended_before_;
   std::deque<std::string> overflow_;  // records that the log has no room for yet
   std::vector<std::pair<journal::Sequence, std::size_t>>
       read_;  // records and their bytes; until the keeper is
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -21,6 +21,14 @@
 constexpr std::size_t kReserved = 24;  // descriptors: standard ones, pipe, listeners, discovery, journal
 constexpr std::size_t kMostDestinations = 65'536;
 constexpr std::size_t kMostIdLogged = 64;  // bytes of a client's id in a line of the log
+constexpr const char* kRefused = "refused; handing it in again is harmless\n";
+constexpr const char* kFailed = "failed\n";
+
+// When its client may come again, where a time is known.
+std::vector<http1::Field> come_back_field(Time come_back) {
+  if (come_back <= 0) return {};
+  return {{"Retry-After", http1::seconds_text(come_back)}};
+}
 
 // Descriptors are shared out: endpoints get what the slots may use and some idle ones, a third at most; the
 // platform's clients hold a third at most, and what is left is for clients that behave otherwise.
@@ -33,6 +41,26 @@
   return limits.sockets > taken + 8 ? limits.sockets - taken : 8;
 }
 
+// A copy carries what is left of its request's time, so none of its client's comes later than the longest
+// time that a message may have; as long again for hosts that are held up.
+Time ends_kept(const Settings& settings) {
+  Time longest = 0;
+  for (const auto& cls : settings.classes) longest = std::max(longest, cls.deadline);
+  return 2 * longest;
+}
+
+RequestState state_of(journal::record::Verdict verdict) {
+  switch (verdict) {
+    case journal::record::Verdict::served:
+      return RequestState::delivered;
+    case journal::record::Verdict::refused:
+      return RequestState::returned;
+    case journal::record::Verdict::failed:
+      break;
+  }
+  return RequestState::failed;
+}
+
 std::vector<std::string> in_order(const settings::Names& names) {
   std::vector<std::string> out(names.size());
   for (const auto& [name, place] : names) out[static_cast<std::size_t>(place)] = name;
@@ -42,7 +70,7 @@
 }  // namespace
 
 Relay::Relay(loop::Loop& loop, Config config, LogSink log)
-    : loop_(loop), config_(std::move(config)), log_(std::move(log)) {
+    : loop_(loop), config_(std::move(config)), log_(std::move(log)), requests_(ends_kept(config_.settings)) {
   const auto& set = config_.settings;
   endpoints_ = std::make_unique<Endpoints>(
       loop_,
@@ -86,7 +114,8 @@
   Journal::Settings j;
   j.folder = config_.state, j.disk = config_.limits.disk;
   j.keeper.classes = set.classes;
-  j.keeper.class_names = in_order(config_.names.classes),
+  class_names_ = in_order(config_.names.classes);
+  j.keeper.class_names = class_names_;
   j.keeper.tenant_names = in_order(config_.names.tenants);
   journal_ =
       std::make_unique<Journal>(loop_, std::move(j),
@@ -98,10 +127,8 @@
                                               [this] { poke(); }},
                                 [this](const std::string& text) { log_.say(Event::journal, text); });
   auto& keeper = journal_->keeper();
-  attempts_ = std::make_unique<AttemptLog>(keeper, log_, [this](MessageId id) {
-    const auto it = held_.find(id);
-    return it == held_.end() ? std::string() : it->second.name;
-  });
+  attempts_ =
+      std::make_unique<AttemptLog>(keeper, log_, [this](MessageId id) { return requests_.name_of(id); });
   core_ = std::make_unique<relay::Core>(
       set, relay::make_dispatcher(set, config_.seed),
       relay::Core::Ports{*attempts_, keeper, *discovery_, *peers_, *this, nullptr, attempts_.get()});
@@ -156,8 +183,9 @@
   next_id_ = keeper.image().next_id();
   for (auto& k : found.known) core_->known(k);
   for (const auto& m : found.messages) {
-    held_[m.id] = {m.message->owner, 0};
-    names_[m.message->owner] = m.id;
+    const auto& as_taken = keeper.image().held().at(m.id).now;
+    requests_.restore(now, m.id, m.message->owner,
+                      journal::fingerprint(as_taken.destination, as_taken.message_class, *as_taken.message));
     attempts_->follow(m.id);
     log_.line(Event::recovered, m.message->owner, [&] {
       return "attempts=" + std::to_string(m.before.attempts) +
@@ -169,7 +197,7 @@
   // Ends that may not have been told: told again, which does no harm.
   std::vector<journal::record::Answered> ended;
   for (const auto& [id, answer] : keeper.image().answers()) ended.push_back(answer.is);
-  for (const auto& name : journal_->ended_before()) ended_.add(now, name);
+  recover_ends(now);
   for (const auto& a : ended) {
     if (a.verdict == journal::record::Verdict::served || a.owner.empty())
       keeper.handed_over(a.id);
@@ -180,7 +208,14 @@
   }
   for (const auto id : found.classless) {
     const auto it = keeper.image().held().find(id);
-    if (it != keeper.image().held().end()) outcomes_->add(id, failed_notice(it->second.now.message->owner));
+    if (it != keeper.image().held().end()) {
+      const auto& as_taken = it->second.now;
+      requests_.remember(
+          now, as_taken.message->owner,
+          journal::fingerprint(as_taken.destination, as_taken.message_class, *as_taken.message),
+          RequestState::failed);
+      outcomes_->add(id, failed_notice(as_taken.message->owner));
+    }
     keeper.end_classless(id);
   }
   if (!found.messages.empty() || !ended.empty())
@@ -189,6 +224,13 @@
                                    std::to_string(found.known.size()) + " endpoints known");
 }
 
+void Relay::recover_ends(Time now) {
+  for (const auto& ended : journal_->ended_before()) {
+    const Time come_back = ended.come_back > 0 ? std::min(ended.at, now) + ended.come_back : 0;
+    requests_.remember(now, ended.owner, ended.fingerprint, state_of(ended.verdict), come_back);
+  }
+}
+
 void Relay::list(const Catalogue& catalogue, bool cached) {
   endpoints_->learn(catalogue);
   std::vector<Endpoint> list;
@@ -207,63 +249,105 @@
 // ---- clients ----
 
 void Relay::request(Clients::Number client, http1::Message& request) {
-  const auto answer = [&](int status, const char* why) {
-    if (status >= 400) {
-      turned_away_[why]++;
-      // First: the answer clears the request.
-      const auto* name = request.find("x-call-id");
-      log_.line(Event::turned_away, name == nullptr ? "-" : name->substr(0, kMostIdLogged),
-                [&] { return "status=" + std::to_string(status) + " why=\"" + why + "\""; });
-    }
-    clients_->answer(client, status, {}, std::string(why) + "\n");
-  };
-  if (path_of(request.target) == "/_health") {
-    if (request.method != "GET") return answer(405, "only GET");
-    return ready() ? answer(200, "ready") : answer(503, stopping_ ? "stopping" : "no list is known yet");
-  }
+  if (path_of(request.target) == "/_health") return health(client, request);
   HandedIn in;
-  if (const auto unfit = read_request(request, config_.names, in)) return answer(unfit->status, unfit->why);
-  const bool held = names_.count(in.id) > 0;
-  if (held || ended_.has(loop_.now(), in.id)) {
-    log_.line(Event::repeated, in.id,
-              [&] { return std::string("state=") + (held ? "held" : "ended") + " answer=409"; });
-    return answer(409, held ? "a message with this id is held" : "a message with this id had its end");
+  if (const auto unfit = read_request(request, config_.names, in)) {
+    const auto* name = request.find("x-call-id");
+    const auto told = name == nullptr ? std::string("-") : name->substr(0, kMostIdLogged);
+    return turn_away(client, told, unfit->status, unfit->why);
   }
-  // Refused is an end too.
+  if (const auto known = requests_.find(loop_.now(), in.id, fingerprint_of(in.message)))
+    return answer_known(client, in.id, *known);
+  take(client, std::move(in));
+}
+
+void Relay::health(Clients::Number client, const http1::Message& request) {
+  if (request.method != "GET") return turn_away(client, "-", 405, "only GET");
+  if (ready()) return clients_->answer(client, 200, {}, "ready\n");
+  turn_away(client, "-", 503, stopping_ ? "stopping" : "no list is known yet");
+}
+
+void Relay::take(Clients::Number client, HandedIn in) {
+  const auto fingerprint = fingerprint_of(in.message);
   const auto refuse = [&](const char* why) {
-    ended_.add(loop_.now(), in.id);
-    answer(503, why);
+    requests_.remember(loop_.now(), in.id, fingerprint, RequestState::returned);
+    turn_away(client, in.id, 503, why);
   };
   if (core_->stopping()) return refuse("the relay is stopping");
   if (destinations_.count(in.message.destination) == 0) return refuse("no list has shown this destination");
   if (const char* why = journal_->no_room(in.message.body.size())) return refuse(why);
   const MessageId id = next_id_;
-  std::string name = std::move(in.id);
-  if (core_->take(loop_.refresh(), id, std::move(in.message)) != relay::Core::Taken::yes) {
-    ended_.add(loop_.now(), name);
-    return answer(503, "the relay holds all that it may");
-  }
+  if (core_->take(loop_.refresh(), id, std::move(in.message)) != relay::Core::Taken::yes)
+    return refuse("the relay holds all that it may");
   next_id_++;
-  names_[name] = id;
-  held_[id] = {std::move(name), client};
-  waiting_clients_[client] = id;
+  requests_.take(loop_.now(), id, in.id, fingerprint, client);
   waiting_.push_back({id, core_->rounds()});
   poke();
 }
 
-// Its client left before it heard of it: withdrawn. One that still reads is answered once that is on record,
-// for else a start could send what was answered as over.
+// A copy hears what is true of its request, and nothing is done for it anew.
+void Relay::answer_known(Clients::Number client, const std::string& name,
+                         const RequestRegistry::Known& known) {
+  const std::string state = name_of(known.state);
+  const auto note = [&](const char* answer) {
+    repeated_["repeated_" + state]++;
+    log_.line(Event::repeated, name, [&] {
+      return "state=" + state + " for_ms=" + std::to_string((loop_.now() - known.since) / 1000) +
+             " answer=" + answer;
+    });
+  };
+  if (!known.same) return turn_away(client, name, 409, "another request has this id");
+  switch (known.state) {
+    case RequestState::waiting:
+      note("with the first");
+      return requests_.join(known.id, client);
+    case RequestState::accepted:
+      note("202");
+      return clients_->answer(client, 202, {}, {});
+    case RequestState::delivered:
+      note("200");
+      return clients_->answer(client, 200, {}, {});
+    case RequestState::returned:
+      note("503");
+      return clients_->answer(client, 503, come_back_field(known.come_back - loop_.now()), kRefused);
+    case RequestState::failed:
+      note("500");
+      return clients_->answer(client, 500, {}, kFailed);
+  }
+}
+
+void Relay::turn_away(Clients::Number client, const std::string& name, int status, const char* why) {
+  turned_away_[why]++;
+  log_.line(Event::turned_away, name,
+            [&] { return "status=" + std::to_string(status) + " why=\"" + why + "\""; });
+  clients_->answer(client, status, {}, std::string(why) + "\n");
+}
+
+std::uint64_t Relay::fingerprint_of(const relay::NewMessage& message) const {
+  return journal::fingerprint(std::to_string(message.destination),
+                              class_names_[static_cast<std::size_t>(message.message_class)], message);
+}
+
+// The last client that waited for it left before it heard of it: withdrawn. One that still reads is answered
+// once that is on record, for else a start could send what was answered as over.
 void Relay::gone(Clients::Number client, Clients::Reads reads) {
-  const auto it = waiting_clients_.find(client);
-  if (it == waiting_clients_.end()) {
-    if (reads == Clients::Reads::still) withdrawn_.push_back({client, relay::Fate::refuse}), poke();
+  const bool reading = reads == Clients::Reads::still;
+  if (!requests_.waits(client)) {
+    if (reading) withdrawn_.push_back({client, relay::Fate::refuse}), poke();
     return;
   }
-  const MessageId id = it->second;
-  const Held held = forget(id);
-  log_.line(Event::withdrawn, held.name, [&] { return std::string("before it was taken on"); });
-  const auto fate = core_->withdraw(loop_.refresh(), id);
-  if (reads == Clients::Reads::still) withdrawn_.push_back({client, fate});
+  const auto left = requests_.leave(client, reading);
+  if (!left) return;
+  attempts_->forget(left->id);
+  const auto fate = core_->withdraw(loop_.refresh(), left->id);
+  const bool unrun = fate == relay::Fate::refuse;
+  log_.line(Event::withdrawn, left->name,
+            [&] { return std::string(unrun ? "nothing has run" : "an attempt may have run"); });
+  // A copy of what was told as over, or may have run, is no new request.
+  if (!unrun || !left->reading.empty())
+    requests_.remember(loop_.now(), left->name, left->fingerprint,
+                       unrun ? RequestState::returned : RequestState::failed);
+  for (const auto reader : left->reading) withdrawn_.push_back({reader, fate});
   poke();
 }
 
@@ -281,69 +365,51 @@
   auto waiting = std::move(waiting_);
   waiting_.clear();
   for (const auto& w : waiting) {
-    const auto it = held_.find(w.id);
-    if (it == held_.end() || it->second.client == 0) continue;  // answered or withdrawn meanwhile
-    if (w.round == core_->rounds() && !frozen_) {
-      waiting_.push_back(w);
-      continue;
-    }
-    const auto client = it->second.client;
-    // Part of its record may be in the folder, so it can't be said that it was not taken on either: its
-    // client waits, and gives up by itself.
-    if (journal_->stalled()) {
+    if (!requests_.is_waiting(w.id)) continue;  // answered or withdrawn meanwhile
+    const bool undecided = w.round == core_->rounds() && !frozen_;
+    // While the folder can't be written, part of its record may be in it, so it can't be said that it was not
+    // taken on either: its client waits, and gives up by itself.
+    if (undecided || journal_->stalled()) {
       waiting_.push_back(w);
       continue;
     }
-    waiting_clients_.erase(client);
-    it->second.client = 0;
-    clients_->answer(client, 202, {}, {});
+    for (const auto client : requests_.accept(loop_.now(), w.id)) clients_->answer(client, 202, {}, {});
   }
 }
 
-Relay::Held Relay::forget(MessageId id) {
-  const auto it = held_.find(id);
-  if (it == held_.end()) return {};
-  Held held = std::move(it->second);
-  held_.erase(it);
+RequestRegistry::Ended Relay::end(MessageId id, RequestState how, Time come_back) {
   attempts_->forget(id);
-  names_.erase(held.name);
-  if (held.client != 0) waiting_clients_.erase(held.client);
-  return held;
+  return requests_.end(loop_.now(), id, how, come_back);
 }
 
 void Relay::served(MessageId id, const relay::Ending&) {
-  const Held held = forget(id);
-  if (!held.name.empty()) ended_.add(loop_.now(), held.name);
-  if (held.client != 0) clients_->answer(held.client, 200, {}, {});
+  for (const auto client : end(id, RequestState::delivered).waiting) clients_->answer(client, 200, {}, {});
   journal_->keeper().handed_over(id);
 }
 
-void Relay::note_end(const Held& held, const char* state, const relay::Account& account) {
-  ended_.add(loop_.now(), held.name);
-  log_.line(Event::ended, held.name, [&] {
-    return std::string("state=") + state + " told=" + (held.client == 0 ? "notice" : "answer") +
+void Relay::log_end(const RequestRegistry::Ended& ended, RequestState state, const relay::Account& account) {
+  log_.line(Event::ended, ended.name, [&] {
+    return std::string("state=") + name_of(state) + " told=" + (ended.waiting.empty() ? "notice" : "answer") +
            " attempts=" + std::to_string(account.attempts) + " last=\"" + account.last + "\" why=\"" +
            account.why + "\"";
   });
 }
 
 void Relay::refused(MessageId id, Time come_back, const relay::Account& account) {
-  const Held held = forget(id);
-  if (held.name.empty()) return journal_->keeper().handed_over(id);  // its client left meanwhile
-  note_end(held, "returned", account);
-  if (held.client == 0) return outcomes_->add(id, returned_notice(held.name, come_back));
-  std::vector<http1::Field> fields;
-  if (come_back > 0) fields.push_back({"Retry-After", http1::seconds_text(come_back)});
-  clients_->answer(held.client, 503, fields, "refused; handing it in again is harmless\n");
+  const auto ended = end(id, RequestState::returned, come_back > 0 ? loop_.now() + come_back : 0);
+  if (ended.name.empty()) return journal_->keeper().handed_over(id);  // its client left meanwhile
+  log_end(ended, RequestState::returned, account);
+  if (ended.waiting.empty()) return outcomes_->add(id, returned_notice(ended.name, come_back));
+  for (const auto client : ended.waiting) clients_->answer(client, 503, come_back_field(come_back), kRefused);
   journal_->keeper().handed_over(id);
 }
 
 void Relay::failed(MessageId id, const relay::Account& account) {
-  const Held held = forget(id);
-  if (held.name.empty()) return journal_->keeper().handed_over(id);
-  note_end(held, "failed", account);
-  if (held.client == 0) return outcomes_->add(id, failed_notice(held.name));
-  clients_->answer(held.client, 500, {}, "failed\n");
+  const auto ended = end(id, RequestState::failed);
+  if (ended.name.empty()) return journal_->keeper().handed_over(id);
+  log_end(ended, RequestState::failed, account);
+  if (ended.waiting.empty()) return outcomes_->add(id, failed_notice(ended.name));
+  for (const auto client : ended.waiting) clients_->answer(client, 500, {}, kFailed);
   journal_->keeper().handed_over(id);
 }
 
@@ -459,6 +525,8 @@
     text += pair((std::string(kOutcomes[i]) + "_ms").c_str(),
                  static_cast<std::uint64_t>(told.latency) / told.calls / 1000);
   }
+  text += pair("ends_forgotten", requests_.forgotten());
+  for (const auto& [what, n] : repeated_) text += pair(what.c_str(), n);
   for (const auto& [why, n] : turned_away_) text += pair(why.c_str(), n);
   for (const auto& [why, n] : core_->given_up()) text += pair(why.c_str(), n);
   text.back() = '}';
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -13,12 +13,13 @@
 #include "platform/clients.hpp"
 #include "platform/config.hpp"
 #include "platform/discovery.hpp"
-#include "platform/ended_ids.hpp"
 #include "platform/endpoints.hpp"
 #include "platform/event_log.hpp"
 #include "platform/journal.hpp"
 #include "platform/outcomes.hpp"
 #include "platform/peers.hpp"
+#include "platform/request_registry.hpp"
+#include "platform/semantics.hpp"
 #include "relay/core.hpp"
 
 namespace cedarplank::platform {
@@ -43,10 +44,6 @@
   const Journal& journal() const { return *journal_; }
 
  private:
-  struct Held {
-    std::string name;        // as its client names it
-    Clients::Number client;  // that waits for a first answer; 0: none does
-  };
   struct Waiting {  // for the module's word, and for the record of it
     MessageId id;
     std::uint64_t round;
@@ -56,17 +53,23 @@
     relay::Fate fate;
   };
   void request(Clients::Number client, http1::Message& request);
+  void health(Clients::Number client, const http1::Message& request);
+  void take(Clients::Number client, HandedIn in);
+  void answer_known(Clients::Number client, const std::string& name, const RequestRegistry::Known& known);
+  void turn_away(Clients::Number client, const std::string& name, int status, const char* why);
+  std::uint64_t fingerprint_of(const relay::NewMessage& message) const;
   void gone(Clients::Number client, Clients::Reads reads);
   void answer_withdrawn();
-  void note_end(const Held& held, const char* state, const relay::Account& account);
+  void log_end(const RequestRegistry::Ended& ended, RequestState state, const relay::Account& account);
   void list(const Catalogue& catalogue, bool cached);
   void recover();
+  void recover_ends(Time now);
   void poke();
   void turn();
   void answer_taken();
   void check_stopped();
   Time unix_to_module() const;
-  Held forget(MessageId id);
+  RequestRegistry::Ended end(MessageId id, RequestState how, Time come_back = 0);
   // relay::Answers
   void served(MessageId id, const relay::Ending& ending) override;
   void refused(MessageId id, Time come_back, const relay::Account& account) override;
@@ -85,16 +88,15 @@
   std::unique_ptr<AttemptLog> attempts_;
   std::unique_ptr<relay::Core> core_;
   std::unique_ptr<Clients> clients_;
-  std::map<MessageId, Held> held_;
-  std::map<std::string, MessageId> names_;
-  EndedIds ended_;
-  std::map<Clients::Number, MessageId> waiting_clients_;
+  RequestRegistry requests_;
+  std::vector<std::string> class_names_;  // by their place in the settings
   std::vector<Waiting> waiting_;
   std::vector<Withdrawn> withdrawn_;      // to be answered
   std::set<DestinationId> destinations_;  // that any list has shown
   MessageId next_id_ = 1;
   bool listed_ = false, poked_ = false, stopping_ = false, frozen_ = false;
   std::map<std::string, std::uint64_t> turned_away_;  // requests, by why: texts of the program's own
+  std::map<std::string, std::uint64_t> repeated_;     // requests under a known id, by what was known of it
   std::function<void()> stopped_;
   loop::TimerId timer_ = 0;
   std::vector<loop::TimerId> stop_timers_;
