--- a/tests/platform_repeats_test.cpp
+++ b/tests/platform_repeats_test.cpp
@@ -12,6 +12,8 @@
 #include <gtest/gtest.h>
 #include <rapidjson/document.h>
 
+#include <set>
+
 #include "faults/fleet.hpp"
 
 namespace cedarplank::testing::faults {
@@ -129,6 +131,88 @@
   expect_rules_kept();
 }
 
+// What an end was is kept, over a start too: "a delivered message that may be repeated is answered as
+// delivered again" (PROTOCOL, the rules on sockets).
+TEST_F(PlatformRepeats, ACopyOfAnEndedRequestHearsItsEnd) {
+  ASSERT_TRUE(fleet.start(0));
+  const auto all_over = [&](const std::vector<std::string>& ids) {
+    const auto over = [&](const auto& id) { return fleet.end_of(id) != ""; };
+    return fleet.until([&] { return std::all_of(ids.begin(), ids.end(), over); }, 5'000'000);
+  };
+  const auto delivered = hand_in(6);
+  ASSERT_TRUE(all_over(delivered));
+  all_endpoints({Reply::What::error});
+  const auto failed = hand_in(6);
+  ASSERT_TRUE(all_over(failed));
+  all_endpoints({Reply::What::told_wait, 1'000, 2'000'000});
+  const auto returned = hand_in(6);
+  ASSERT_TRUE(all_over(returned));
+  for (const bool over_a_start : {false, true}) {
+    if (over_a_start) {
+      fleet.kill(0);
+      ASSERT_TRUE(fleet.until([&] { return fleet.ready(0); }, 5'000'000));
+    }
+    for (const auto* ids : {&delivered, &returned, &failed}) repeat(*ids);
+    for (const auto& id : delivered) EXPECT_EQ(request(id).answers.back().status, 200) << id;
+    std::set<int> heard;
+    for (const auto* ids : {&failed, &returned})
+      for (const auto& id : *ids) {
+        heard.insert(request(id).answers.back().status);
+        EXPECT_EQ(request(id).answers.back().status, request(id).ended_by == "notice failed" ? 500 : 503)
+            << id << ", " << request(id).ended_by;
+      }
+    EXPECT_EQ(heard, (std::set<int>{500, 503}));
+  }
+  for (const auto& id : delivered) EXPECT_EQ(request(id).calls.size(), 1u) << id;
+  fleet.settle();
+  expect_rules_kept();
+}
+
+// 410: "the message is over, nothing more is owed"; 504: "the message has had all its attempts; its end is
+// still owed" (PROTOCOL, relays to endpoints). Both were taken for "not sent, try elsewhere", up to eight
+// times.
+TEST_F(PlatformRepeats, WhatAnEndpointSaysIsOverIsNotSentAgain) {
+  ASSERT_TRUE(fleet.start(0));
+  for (const auto what : {Reply::What::over, Reply::What::exhausted}) {
+    all_endpoints({what, 1'000});
+    const auto ids = hand_in(10);
+    fleet.run(500'000);
+    for (const auto& id : ids) {
+      EXPECT_EQ(request(id).calls.size(), 1u) << id;
+      EXPECT_EQ(fleet.end_of(id), "notice returned") << id;
+      EXPECT_TRUE(told("said_over", id, what == Reply::What::over ? "410" : "504")) << id;
+    }
+  }
+  fleet.settle();
+  expect_rules_kept();
+}
+
+class PlatformLargeRequests : public PlatformRepeats {
+ public:
+  PlatformLargeRequests() : PlatformRepeats(large()) {}
+  static FleetSettings large() {
+    FleetSettings s = settings();
+    s.body = std::string(20'000, 'x');
+    return s;
+  }
+};
+
+// A call that was written whole and given up waits in part in this machine's own buffers: a plain close goes
+// on delivering it, after the end that was told meanwhile.
+TEST_F(PlatformLargeRequests, ACallThatIsGivenUpDoesNotArriveAfterTheEnd) {
+  ASSERT_TRUE(fleet.start(0));
+  for (const char* endpoint : {"s-0-0", "s-1-0", "s-2-0"}) fleet.deafen(endpoint, true);
+  const auto ids = hand_in(6);
+  ASSERT_TRUE(fleet.until(
+      [&] {
+        return std::all_of(ids.begin(), ids.end(), [&](const auto& id) { return fleet.end_of(id) != ""; });
+      },
+      5'000'000));
+  for (const char* endpoint : {"s-0-0", "s-1-0", "s-2-0"}) fleet.deafen(endpoint, false);
+  fleet.settle();
+  expect_rules_kept();
+}
+
 // An operator finds each request that was answered as no new one, by its id: what was known of it, and the
 // answer.
 TEST_F(PlatformRepeats, LinesNameTheRequestsThatCameAgainOrWereTurnedAway) {
