An endpoint's word that a message is over ends it; calls given up are reset

Cause: ending_of() mapped 410, 413 and 504, and endings_of() 'gone' and 'exhausted', to one outcome that the module takes for 'not sent, try elsewhere'. Endpoints::cancel() closed a call that it gave up plainly, so the system went on delivering what it had buffered; a message that ended while its call was out left that call as it was. Change: Ending::standing tells over and exhausted from the call's outcome; the core ends such a message by what is known of its attempts, past the module (as at a stop). A written call that is given up is reset; when a message ends, a call of which bytes are unacknowledged (SIOCOUTQ) is given up so. The line 'said_over' names message and endpoint.

--- a/src/journal/keeper.hpp
+++ b/src/journal/keeper.hpp
@@ -111,6 +111,7 @@
   void send(const relay::CallOrder& call) override;
   Recalled cancel(relay::CallId call) override;
   bool take_back(relay::CallId call) override;
+  bool withhold(relay::CallId call) override { return ports_.transport.withhold(call); }
   std::vector<relay::CallId> recall(const EndpointId& endpoint) override;
   void close_idle(const EndpointId& endpoint) override { ports_.transport.close_idle(endpoint); }
   void probe(const EndpointId& endpoint) override { ports_.transport.probe(endpoint); }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -261,6 +263,11 @@
   if (closed) closed(why);
 }
 
+bool TcpStream::unacknowledged() const {
+  int waiting = 0;
+  return fd_ && ioctl(fd_.get(), SIOCOUTQ, &waiting) == 0 && waiting > 0;
+}
+
 void TcpStream::close(bool abort) {
   if (!*alive_) return;
   *alive_ = false;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -96,6 +96,9 @@
   void finish(Time linger) override;
   void close(bool abort = false) override;
   int descriptor() const { return fd_.get(); }
+  // Whether the peer's machine has not acknowledged all that the kernel took. A plain close goes on
+  // delivering such bytes; one with a reset does not.
+  bool unacknowledged() const;
   // It never began to connect, for want of something on this machine that may be there again soon.
   bool failed_here() const { return failed_here_; }
 
--- a/src/platform/attempt_log.cpp
+++ b/src/platform/attempt_log.cpp
@@ -47,6 +47,9 @@
       if (ending.told_wait > 0) text += " wait_ms=" + std::to_string(ending.told_wait / 1000);
       return text;
     });
+  if (ending.standing != relay::Standing::open)
+    log_.line(Event::said_over, name_of_(call.message_id),
+              [&] { return text_of(call.attempt, call.endpoint) + " why=\"" + ending.what + "\""; });
   keeper_.ended(call, ending);
 }
 
--- a/src/platform/attempt_log.hpp
+++ b/src/platform/attempt_log.hpp
@@ -25,6 +25,7 @@
   void send(const relay::CallOrder& call) override;
   Recalled cancel(relay::CallId call) override { return keeper_.cancel(call); }
   bool take_back(relay::CallId call) override { return keeper_.take_back(call); }
+  bool withhold(relay::CallId call) override { return keeper_.withhold(call); }
   std::vector<relay::CallId> recall(const EndpointId& endpoint) override { return keeper_.recall(endpoint); }
   void close_idle(const EndpointId& endpoint) override { keeper_.close_idle(endpoint); }
   void probe(const EndpointId& endpoint) override { keeper_.probe(endpoint); }
--- a/src/platform/endpoints.cpp
+++ b/src/platform/endpoints.cpp
@@ -325,11 +325,11 @@
   tell(link, std::vector(link->members.size(), ending));
 }
 
-void Endpoints::drop(const LinkPtr& link) {
+void Endpoints::drop(const LinkPtr& link, Close how) {
   loop_.cancel(link->timer), link->timer = 0;
   // It may be what tells us that is running now.
   loop_.defer([link] {});
-  link->stream->close();
+  link->stream->close(how == Close::reset);
   links_.erase(link->number);
   const auto it = idle_.find(link->endpoint);
   if (it == idle_.end()) return;
@@ -356,8 +356,10 @@
   if (whole && link->members.size() > 1 && !bounds_.second_copies && !over) return Recalled::kept;
   calls_.erase(it);
   link->members.erase(member);
+  // A call that is given up is reset. Guards against bytes that a plain close goes on delivering, from here
+  // or from a proxy that holds them, once the message had its end (rule 1).
   if (link->members.empty())
-    drop(link);
+    drop(link, whole ? Close::reset : Close::plain);
   else if (!link->begun)
     link->size = link->members.size();
   else if (!whole)
@@ -373,6 +375,15 @@
   return true;
 }
 
+// Of a call of several, the others are still waited for.
+bool Endpoints::withhold(relay::CallId call) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end() || it->second->members.size() > 1 || !it->second->stream->unacknowledged())
+    return false;
+  cancel(call);
+  return true;
+}
+
 std::vector<relay::CallId> Endpoints::recall(const EndpointId& endpoint) {
   std::vector<relay::CallId> back;
   std::erase_if(ordered_,
--- a/src/platform/endpoints.hpp
+++ b/src/platform/endpoints.hpp
@@ -48,6 +48,7 @@
   void send(const relay::CallOrder& call) override;
   Recalled cancel(relay::CallId call) override;
   bool take_back(relay::CallId call) override;
+  bool withhold(relay::CallId call) override;
   std::vector<relay::CallId> recall(const EndpointId& endpoint) override;
   void close_idle(const EndpointId& endpoint) override;
   void probe(const EndpointId&) override {}  // the platform has none
@@ -88,7 +89,8 @@
   void rest(const LinkPtr& link, bool reusable);
   void tell(const LinkPtr& link, const std::vector<relay::Ending>& endings);
   void tell_all(const LinkPtr& link, const relay::Ending& ending);
-  void drop(const LinkPtr& link);
+  enum class Close { plain, reset };
+  void drop(const LinkPtr& link, Close how = Close::plain);
   bool cannot_have_run(const Link& link) const;
   void sweep();
 
--- a/src/platform/event_log.cpp
+++ b/src/platform/event_log.cpp
@@ -28,6 +28,8 @@
       return "attempt";
     case Event::retry:
       return "retry";
+    case Event::said_over:
+      return "said_over";
     case Event::ended:
       return "ended";
     case Event::recovered:
--- a/src/platform/event_log.hpp
+++ b/src/platform/event_log.hpp
@@ -25,6 +25,7 @@
   withdrawn,    // its client left before it heard that it was taken on
   attempt,      // an attempt ended without having been served
   retry,        // a later attempt of a message, or any of one that an earlier run took on
+  said_over,    // an endpoint says that nothing is to be sent any more for a message
   ended,        // a message had its final answer, not that of a delivery
   recovered,    // a message that an earlier run took on
   state,        // the relay's own: ready, stopping, last round
--- a/src/platform/semantics.cpp
+++ b/src/platform/semantics.cpp
@@ -157,8 +157,12 @@
       if (e.outcome == Outcome::full) e.told_wait = told_wait(answer);
       break;
     case 410:
-    case 413:
+      e.outcome = Outcome::not_sent, e.standing = relay::Standing::over;
+      break;
     case 504:
+      e.outcome = Outcome::not_sent, e.standing = relay::Standing::exhausted;
+      break;
+    case 413:
       e.outcome = Outcome::not_sent;
       break;
     default:
@@ -170,6 +174,7 @@
 std::vector<relay::Ending> endings_of(const http1::Message& answer, bool whole,
                                       const std::vector<std::string>& ids) {
   relay::Ending all = ending_of(answer);
+  all.standing = relay::Standing::open;  // 410 and 504 are of one message; here each has a line of its own
   // Nothing of a bulk call that could not be read has run.
   if (answer.status == 400) all.outcome = Outcome::not_sent;
   // What can't be read to its end tells nothing of any one: each may have run.
@@ -199,8 +204,10 @@
       e.outcome = Outcome::served;
     else if (end == "later")
       e.outcome = Outcome::full;
-    else if (end == "gone" || end == "exhausted")
-      e.outcome = Outcome::not_sent;
+    else if (end == "gone")
+      e.outcome = Outcome::not_sent, e.standing = relay::Standing::over;
+    else if (end == "exhausted")
+      e.outcome = Outcome::not_sent, e.standing = relay::Standing::exhausted;
     else
       e.outcome = Outcome::error;
     e.told_wait = wait;  // binds whatever became of this one
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -114,9 +114,12 @@
   const auto at = messages_.find(id);
   if (at == messages_.end()) return;
   const auto out = at->second.out;
-  for (const CallId call : out)
+  for (const CallId call : out) {
     if (ports_.transport.take_back(call))
       end_call(now_, calls_.find(call), {Outcome::not_sent, 0, {}, "the message was over", {}});
+    else if (ports_.transport.withhold(call))
+      end_call(now_, calls_.find(call), {Outcome::cancelled, 0, {}, "the message was over", {}});
+  }
 }
 
 void Core::forget(MessageId id) {
@@ -217,6 +220,7 @@
       tell_over(now, call.message, trace::Verdict::served);
       ports_.answers.served(call.message, ending);
     }
+    heed(now, call.message, m, ending.standing);
     closed = m.over;
   }
   events_.push_back(event::AttemptEnded{call.message, call.attempt, call.endpoint, ending.outcome,
@@ -225,6 +229,32 @@
   forget(call.message);
 }
 
+// An endpoint that says that a message is over ends it here too, whatever the module would try next. Guards
+// against a message that is sent on, elsewhere, once it had its end (rule 1).
+void Core::heed(Time now, MessageId id, Message& m, Standing standing) {
+  if (m.over) return;
+  m.exhausted = m.exhausted || standing == Standing::exhausted;
+  if (standing == Standing::over) return end_unserved(now, id, m, "an endpoint says that it is over");
+  if (m.exhausted && m.out.empty())
+    end_unserved(now, id, m, "an endpoint says that it has had all its attempts");
+}
+
+// Past the module, by what is known of its attempts.
+void Core::end_unserved(Time now, MessageId id, Message& m, const char* why) {
+  m.over = true;
+  open_--, given_up_[why]++;
+  const auto& cls = settings_.classes[static_cast<std::size_t>(m.message->message_class)];
+  if (fate_at_stop(cls, m.history) == Fate::refuse) {
+    counts_.refused++;
+    tell_over(now, id, trace::Verdict::refused);
+    ports_.answers.refused(id, 0, account(m, why));
+  } else {
+    counts_.failed++;
+    tell_over(now, id, trace::Verdict::failed);
+    ports_.answers.failed(id, account(m, why));
+  }
+}
+
 void Core::time_out(Time now, CallId id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
@@ -306,6 +336,7 @@
     events_.push_back(event::AttemptEnded{a.id, attempt, a.endpoint, Outcome::not_sent, 0, m.over, 0, {}});
   };
   if (m.over || now >= m.deadline) return not_sent("the message was over");
+  if (m.exhausted) return not_sent("an endpoint says that it has had all its attempts");
   if (at == known_.end()) return not_sent("the endpoint is in no list");
   if (m.attempts > settings_.attempts_max) return not_sent("no attempts were left");
   // What one round sends to one endpoint shares a call, and its slot, as far as the kind allows.
@@ -419,19 +450,7 @@
     }
     const auto it = messages_.find(id);
     if (it == messages_.end() || it->second.over) continue;
-    Message& m = it->second;
-    m.over = true;
-    open_--;
-    const auto& cls = settings_.classes[static_cast<std::size_t>(m.message->message_class)];
-    if (fate_at_stop(cls, m.history) == Fate::refuse) {
-      counts_.refused++;
-      tell_over(now, id, trace::Verdict::refused);
-      ports_.answers.refused(id, 0, account(m, "the relay stopped"));
-    } else {
-      counts_.failed++;
-      tell_over(now, id, trace::Verdict::failed);
-      ports_.answers.failed(id, account(m, "the relay stopped"));
-    }
+    end_unserved(now, id, it->second, "the relay stopped");
     events_.push_back(event::Withdrawn{id});
     forget(id);
   }
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -54,6 +54,14 @@
   std::uint64_t bundle = 0;  // calls of one bundle may travel together: one slot, one call
 };
 
+// What an endpoint says of a message beside the call's outcome: whether anything may be sent for it from now
+// on.
+enum class Standing {
+  open,       // as far as it knows
+  over,       // it has had its end elsewhere
+  exhausted,  // it has had all its attempts
+};
+
 // How a call ended, as the wire shows it.
 struct Ending {
   Outcome outcome = Outcome::served;
@@ -61,6 +69,7 @@
   Report report;
   std::string what;      // for people: status or reason
   std::string location;  // served: where the endpoint says the message is
+  Standing standing = Standing::open;
 };
 
 class Transport {
@@ -74,6 +83,12 @@
   virtual Recalled cancel(CallId call) = 0;
   // Takes back a call of which nothing has left. False where something has, or it is not known.
   virtual bool take_back(CallId call) = 0;
+  // Gives up a call that has been written and of which bytes still wait in this machine's buffers: they are
+  // not delivered any more. False where none do, or it is not known.
+  virtual bool withhold(CallId call) {
+    static_cast<void>(call);
+    return false;
+  }
   // Takes back all calls to that endpoint of which nothing has left; returns them.
   virtual std::vector<CallId> recall(const EndpointId& endpoint) = 0;
   virtual void close_idle(const EndpointId& endpoint) = 0;
@@ -216,7 +231,8 @@
     int attempts = 0;
     History history;  // whether attempts may have run
     std::string last;
-    bool over = false;  // answered or withdrawn
+    bool over = false;       // answered or withdrawn
+    bool exhausted = false;  // an endpoint said so: no further attempt, it ends with those that are out
     std::set<CallId> out;
     Time ran_from = -1;  // when the first attempt that may have run was sent; -1: none
   };
@@ -241,6 +257,8 @@
   void end_due(Time now, Time until);
   void end_call(Time now, std::map<CallId, Call>::iterator it, const Ending& ending);
   void time_out(Time now, CallId id);
+  void heed(Time now, MessageId id, Message& message, Standing standing);
+  void end_unserved(Time now, MessageId id, Message& message, const char* why);
   void take_back_waiting(MessageId id);
   void forget(MessageId id);
   // A step of a message's story; `fill` is run only where stories are recorded.
