Core: what an endpoint says is over ends with its last call; bulk lines tested

Cause: a 410 ended a message while another call of it was out, which might still have served it. Change: an endpoint's word forbids further attempts; the message ends when no call is out.

--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -61,6 +61,10 @@
   return RequestState::failed;
 }
 
+std::uint64_t fingerprint_of(const journal::record::Taken& taken) {
+  return journal::fingerprint(taken.destination, taken.message_class, *taken.message);
+}
+
 std::vector<std::string> in_order(const settings::Names& names) {
   std::vector<std::string> out(names.size());
   for (const auto& [name, place] : names) out[static_cast<std::size_t>(place)] = name;
@@ -184,8 +188,7 @@
   for (auto& k : found.known) core_->known(k);
   for (const auto& m : found.messages) {
     const auto& as_taken = keeper.image().held().at(m.id).now;
-    requests_.restore(now, m.id, m.message->owner,
-                      journal::fingerprint(as_taken.destination, as_taken.message_class, *as_taken.message));
+    requests_.restore(now, m.id, m.message->owner, platform::fingerprint_of(as_taken));
     attempts_->follow(m.id);
     log_.line(Event::recovered, m.message->owner, [&] {
       return "attempts=" + std::to_string(m.before.attempts) +
@@ -210,11 +213,9 @@
     const auto it = keeper.image().held().find(id);
     if (it != keeper.image().held().end()) {
       const auto& as_taken = it->second.now;
-      requests_.remember(
-          now, as_taken.message->owner,
-          journal::fingerprint(as_taken.destination, as_taken.message_class, *as_taken.message),
-          RequestState::failed);
-      outcomes_->add(id, failed_notice(as_taken.message->owner));
+      const std::string& name = as_taken.message->owner;
+      requests_.remember(now, name, platform::fingerprint_of(as_taken), RequestState::failed);
+      outcomes_->add(id, failed_notice(name));
     }
     keeper.end_classless(id);
   }
--- a/src/relay/core.cpp
+++ b/src/relay/core.cpp
@@ -229,14 +229,13 @@
   forget(call.message);
 }
 
-// An endpoint that says that a message is over ends it here too, whatever the module would try next. Guards
-// against a message that is sent on, elsewhere, once it had its end (rule 1).
+// An endpoint that says that nothing is to be sent any more for a message ends it here too, whatever the
+// module would try next; calls that are out may still serve it. Guards against a message that is sent on,
+// elsewhere, once it had its end (rule 1).
 void Core::heed(Time now, MessageId id, Message& m, Standing standing) {
-  if (m.over) return;
-  m.exhausted = m.exhausted || standing == Standing::exhausted;
-  if (standing == Standing::over) return end_unserved(now, id, m, "an endpoint says that it is over");
-  if (m.exhausted && m.out.empty())
-    end_unserved(now, id, m, "an endpoint says that it has had all its attempts");
+  if (standing == Standing::over) m.no_more = "an endpoint says that it is over";
+  if (standing == Standing::exhausted) m.no_more = "an endpoint says that it has had all its attempts";
+  if (m.no_more != nullptr && !m.over && m.out.empty()) end_unserved(now, id, m, m.no_more);
 }
 
 // Past the module, by what is known of its attempts.
@@ -336,7 +335,7 @@
     events_.push_back(event::AttemptEnded{a.id, attempt, a.endpoint, Outcome::not_sent, 0, m.over, 0, {}});
   };
   if (m.over || now >= m.deadline) return not_sent("the message was over");
-  if (m.exhausted) return not_sent("an endpoint says that it has had all its attempts");
+  if (m.no_more != nullptr) return not_sent(m.no_more);
   if (at == known_.end()) return not_sent("the endpoint is in no list");
   if (m.attempts > settings_.attempts_max) return not_sent("no attempts were left");
   // What one round sends to one endpoint shares a call, and its slot, as far as the kind allows.
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -231,8 +231,9 @@
     int attempts = 0;
     History history;  // whether attempts may have run
     std::string last;
-    bool over = false;       // answered or withdrawn
-    bool exhausted = false;  // an endpoint said so: no further attempt, it ends with those that are out
+    bool over = false;  // answered or withdrawn
+    const char* no_more =
+        nullptr;  // why an endpoint wants no further attempt: it ends with those that are out
     std::set<CallId> out;
     Time ran_from = -1;  // when the first attempt that may have run was sent; -1: none
   };
--- a/tests/faults/soak.cpp
+++ b/tests/faults/soak.cpp
@@ -51,6 +51,7 @@
       const Time when = below(length_ - kS);
       fleet_.loop.after(when, [this] { trouble(); });
     }
+    later(below(length_ / 2), [this] { clients_fail(); });
     fleet_.traffic(rate);
     fleet_.run(length_);
     fleet_.settle();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,6 @@
 // The platform's protocol on loopback: each outcome, each bad request, each spoilt answer; restarts, reloads
 // and the bounds. One loop, no sleeps.
+#include "platform/semantics.hpp"
 #include "platform_world.hpp"
 
 namespace cedarplank::platform::testing {
@@ -186,6 +187,35 @@
   EXPECT_TRUE(noticed(R"({"id":"m-3","state":"failed"})"));
 }
 
+// 'gone' and 'exhausted' are 410 and 504 of one message of the call; a 410 for the call as a whole is of
+// none.
+TEST_F(Platform, WhatABulkAnswerSaysIsOverIsNotSentAgain) {
+  add("b-1", 7, "big");
+  serve();
+  Client a(*this), b(*this), c(*this);
+  until([&] { return false; }, 20'000);  // connected
+  a.hand_in("m-1", "order"), b.hand_in("m-2", "order"), c.hand_in("m-3", "order");
+  answers["b-1"] = [&](const Call& call) -> Server::Reply {
+    if (call.path == "/inbox") return {ok(call)};
+    std::string body;
+    const std::map<std::string, std::string> ends = {
+        {"m-1", " gone"}, {"m-2", " exhausted"}, {"m-3", " later"}};
+    for (const auto& id : ids_of(call)) body += id + ends.at(id) + "\r\n";
+    return {http1::response(200, {}, body, false)};
+  };
+  EXPECT_TRUE(until([&] { return relay->held() == 0 && noticed("m-1") && noticed("m-2"); }));
+  ASSERT_EQ(calls[0].path, "/inbox/bulk");
+  EXPECT_EQ(called("m-1"), 1u);
+  EXPECT_EQ(called("m-2"), 1u);
+  EXPECT_EQ(called("m-3"), 2u);
+  EXPECT_TRUE(noticed(R"({"id":"m-1","state":"returned"})"));
+  EXPECT_FALSE(noticed("m-3"));
+  http1::Message whole;
+  whole.status = 410;
+  for (const auto& ending : endings_of(whole, true, {"m-1", "m-2"}))
+    EXPECT_EQ(ending.standing, relay::Standing::open);
+}
+
 TEST_F(Platform, ABulkAnswerCutInItsMiddleLeavesEachInDoubt) {
   add("b-1", 7, "big");
   serve();
