--- a/src/journal/image.cpp
+++ b/src/journal/image.cpp
@@ -38,6 +38,11 @@
     }
     for (auto& [id, a] : answers_)
       if (a.is.until != 0) a.is.until += r.shift, ends_[{a.is.until, id}] = 0;
+    remembered_until_.clear();
+    for (auto& [id, end] : remembered_) {
+      end.is.remember += r.shift;
+      remembered_until_.insert({end.is.remember, id});
+    }
     for (auto& [id, w] : waits_) w.first.until += r.shift;
     for (auto& [id, h] : health_) h.first.since += r.shift;
   }
@@ -50,7 +55,7 @@
 
 void Image::on(Sequence s, Time, const record::Taken& r) {
   next_id_ = std::max(next_id_, r.id + 1);
-  if (answers_.count(r.id) > 0) return;
+  if (answers_.count(r.id) > 0 || remembered_.count(r.id) > 0) return;
   Held& h = held_[r.id];
   if (h.now.message) held_bytes_ -= size_of(*h.now.message);
   held_bytes_ += size_of(*r.message);
@@ -82,7 +87,8 @@
 
 void Image::on(Sequence s, Time, const record::Answered& r) {
   next_id_ = std::max(next_id_, r.id + 1);
-  drop_held(r.id), drop_answer(r.id);
+  drop_held(r.id), drop_answer(r.id), drop_end(r.id);
+  if (r.handed_over) return remember(s, r);
   if (r.until == 0) return;
   Answer& a = answers_[r.id];
   a.is = r;
@@ -92,7 +98,43 @@
   if (!r.idempotency_key.empty()) names_[{r.tenant, r.destination, r.idempotency_key}] = r.id;
 }
 
-void Image::on(Sequence, Time, const record::Gone& r) { drop_held(r.id), drop_answer(r.id); }
+void Image::on(Sequence, Time at, const record::Gone& r) {
+  drop_held(r.id);
+  const auto it = answers_.find(r.id);
+  if (it == answers_.end()) return;
+  const Answer answer = it->second;
+  drop_answer(r.id);
+  if (answer.is.remember > at) remember(answer.first, answer.is);
+}
+
+void Image::remember(Sequence s, record::Answered answer) {
+  answer.handed_over = true;
+  // All that a copy of the message is told by.
+  answer.message_class.clear(), answer.last.clear(), answer.destination.clear(), answer.tenant.clear();
+  answer.idempotency_key.clear();
+  Answer& end = remembered_[answer.id];
+  end_bytes_ += size_of(answer);
+  remembered_until_.insert({answer.remember, answer.id});
+  place(end.first, s, {Kind::end, answer.id, {}});
+  end.is = std::move(answer);
+}
+
+void Image::drop_end(MessageId id) {
+  const auto it = remembered_.find(id);
+  if (it == remembered_.end()) return;
+  remembered_until_.erase({it->second.is.remember, id});
+  end_bytes_ -= size_of(it->second.is);
+  places_.erase(it->second.first);
+  remembered_.erase(it);
+}
+
+void Image::forget_ends(Time now, std::size_t bytes_max) {
+  while (!remembered_until_.empty()) {
+    const auto& [until, id] = *remembered_until_.begin();
+    if (until > now && end_bytes_ <= bytes_max) return;
+    drop_end(id);
+  }
+}
 
 void Image::on(Sequence s, Time at, const record::Told& r) {
   auto& w = waits_[r.endpoint];
@@ -159,6 +201,8 @@
       return {now, held_.at(id).now};
     case Kind::answer:
       return {now, answers_.at(id).is};
+    case Kind::end:
+      return {now, remembered_.at(id).is};
     case Kind::wait:
       return {now, waits_.at(endpoint).first};
     case Kind::health:
--- a/src/journal/image.hpp
+++ b/src/journal/image.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -33,6 +34,12 @@
 
   const std::map<MessageId, Held>& held() const { return held_; }
   const std::map<MessageId, Answer>& answers() const { return answers_; }
+  // Ends of messages whose answer was handed over: nothing is owed, but a copy of the message is known by
+  // them.
+  const std::map<MessageId, Answer>& remembered() const { return remembered_; }
+  // Forgets those whose time is over, and the oldest ones beyond so many bytes. Needs no record: read again
+  // from the log they are forgotten again.
+  void forget_ends(Time now, std::size_t bytes_max);
   const std::map<EndpointId, std::pair<record::Told, Sequence>>& waits() const { return waits_; }
   const std::map<EndpointId, std::pair<record::Seen, Sequence>>& health() const { return health_; }
   const record::Base& base() const { return base_; }
@@ -50,15 +57,17 @@
   // The oldest answer whose time is over by `now`, or which is one too many or too much; 0: none.
   MessageId outlived(Time now, std::size_t answers_max, std::size_t bytes_max) const;
   std::size_t items() const { return places_.size(); }
-  std::size_t bytes() const { return answer_bytes_ + held_bytes_; }  // that they take in the log, about
+  std::size_t bytes() const { return answer_bytes_ + held_bytes_ + end_bytes_; }  // in the log, about
 
  private:
-  enum class Kind { base, held, answer, wait, health };
+  enum class Kind { base, held, answer, end, wait, health };
   using Place = std::tuple<Kind, MessageId, EndpointId>;
   using Name = std::tuple<std::string, std::string, std::string>;
   void place(Sequence& at, Sequence sequence, Place what);
   void drop_held(MessageId id);
   void drop_answer(MessageId id);
+  void remember(Sequence s, record::Answered answer);
+  void drop_end(MessageId id);
   void on(Sequence s, Time at, const record::Base& r);
   void on(Sequence s, Time at, const record::Taken& r);
   void on(Sequence s, Time at, const record::Sending& r);
@@ -71,12 +80,14 @@
 
   std::map<MessageId, Held> held_;
   std::map<MessageId, Answer> answers_;
+  std::map<MessageId, Answer> remembered_;
+  std::set<std::pair<Time, MessageId>> remembered_until_;
   std::map<EndpointId, std::pair<record::Told, Sequence>> waits_;
   std::map<EndpointId, std::pair<record::Seen, Sequence>> health_;
   std::map<Name, MessageId> names_;
-  std::map<std::pair<Time, MessageId>, char> ends_;  // of kept answers
-  std::map<Sequence, Place> places_;                 // what needs which record, oldest first
-  std::size_t answer_bytes_ = 0, held_bytes_ = 0;    // about
+  std::map<std::pair<Time, MessageId>, char> ends_;                // of kept answers
+  std::map<Sequence, Place> places_;                               // what needs which record, oldest first
+  std::size_t answer_bytes_ = 0, held_bytes_ = 0, end_bytes_ = 0;  // about
   record::Base base_;
   Sequence base_first_ = 0;
   Time last_at_ = 0;
--- a/src/journal/keeper.cpp
+++ b/src/journal/keeper.cpp
@@ -200,6 +200,7 @@
   }
   const bool asked = asked_for_.erase(id) > 0;
   if (asked || !r.idempotency_key.empty() || !r.owner.empty()) r.until = now_ + settings_.answers_for;
+  if (settings_.ends_for > 0 && !r.owner.empty()) r.remember = now_ + settings_.ends_for;
   const Sequence s = write({now_, std::move(r)});
   if (s == 0 || stalled_ || !waits_.answers) return hand_over();
   wait_for(s, {Waiting::Kind::word, 0, std::move(hand_over), due});
@@ -243,6 +244,7 @@
     if (over == 0) break;
     write({now_, record::Gone{over}}), done++;
   }
+  image_.forget_ends(now_, static_cast<std::size_t>(settings_.window / 3));
   // Records before this one are more than the window old.
   Sequence keep_from = 0;
   while (marks_.size() > 1 && written_ - marks_[1].second > settings_.window) marks_.pop_front();
--- a/src/journal/keeper.hpp
+++ b/src/journal/keeper.hpp
@@ -33,6 +33,9 @@
   std::vector<std::string> class_names, tenant_names;
   Time answers_for = 3'600'000'000;                              // how long final answers are kept
   std::size_t answers_max = 100'000, answers_bytes = 128 << 20;  // beyond them the oldest goes
+  // How long ends of messages with an owner are remembered, once their answer is handed over; as far as they
+  // fit into a third of the window.
+  Time ends_for = 0;
   std::uint64_t window =
       512ull << 20;  // bytes of records: what is still needed of older ones is written anew
 };
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -46,7 +46,7 @@
     p.set_come_back(r.come_back), p.set_message_class(r.message_class), p.set_attempts(r.attempts);
     p.set_last(r.last), p.set_destination(r.destination), p.set_tenant(r.tenant);
     p.set_idempotency_key(r.idempotency_key), p.set_owner(r.owner), p.set_fingerprint(r.fingerprint);
-    p.set_until(r.until);
+    p.set_until(r.until), p.set_remember(r.remember), p.set_handed_over(r.handed_over);
   }
   void operator()(const record::Gone& r) const { to.mutable_gone()->set_id(r.id); }
   void operator()(const record::Told& r) const {
@@ -117,6 +117,8 @@
     text("class", r.message_class), text("tenant", r.tenant), text("key", r.idempotency_key);
     number("attempts", r.attempts), text("last", r.last);
     if (r.until > 0) number("kept_until", r.until);
+    if (r.remember > 0) number("remembered_until", r.remember);
+    if (r.handed_over) json.Key("handed_over"), json.Bool(true);
   }
   void operator()(const record::Gone& r) const {
     kind("gone"), number("id", static_cast<std::int64_t>(r.id));
@@ -177,7 +179,9 @@
                                      a.idempotency_key(),
                                      a.owner(),
                                      a.fingerprint(),
-                                     a.until()};
+                                     a.until(),
+                                     a.remember(),
+                                     a.handed_over()};
       return {};
     }
     case pb::Record::kGone:
--- a/src/journal/records.hpp
+++ b/src/journal/records.hpp
@@ -72,7 +72,9 @@
   std::string last;
   std::string destination, tenant, idempotency_key, owner;
   std::uint64_t fingerprint = 0;
-  Time until = 0;  // 0: not kept
+  Time until = 0;            // 0: not kept
+  Time remember = 0;         // once handed over, its end is remembered until then; 0: not at all
+  bool handed_over = false;  // only its end is remembered
 };
 
 struct Gone {
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -4,7 +4,6 @@
 #include <stdexcept>
 
 #include "node/clock.hpp"
-#include "platform/request_registry.hpp"
 #include "platform/startup.hpp"
 #include "store/inspect.hpp"
 
@@ -13,6 +12,7 @@
 
 constexpr Time kTidyEvery = 50'000;
 constexpr std::size_t kTidyAtOnce = 64;             // items
+constexpr std::size_t kTidyPressed = 1'024;         // the same, while the log is short of room
 constexpr std::uint64_t kLeastSegment = 96 * 1024;  // bytes: a record with a body of 64 KiB fits
 constexpr std::uint64_t kMostSegment = 4 * 1024 * 1024;
 constexpr std::uint64_t kSegments = 24;
@@ -98,7 +98,7 @@
 
 // Reads all that is there, damaged or not. Throws std::system_error where the system can't read it now.
 void Journal::read_log(journal::Image& image) {
-  image = {}, read_.clear(), ended_before_.clear();
+  image = {}, read_.clear();
   const auto id = static_cast<std::uint64_t>(node::clock_now().wall);
   log_ = std::make_unique<store::Log>(*files_, log_settings_, id);
   std::string damage;
@@ -106,7 +106,7 @@
     journal::Record r;
     const auto why = journal::decode(bytes, r);
     if (why.empty())
-      note_end(r), image.apply(s, r);
+      image.apply(s, r);
     else if (damage.empty())
       damage = "record " + std::to_string(s) + " " + why;
     read_.emplace_back(s, bytes.size());
@@ -122,25 +122,17 @@
   if (!damage.empty()) salvage(image, damage);
 }
 
-void Journal::note_end(const journal::Record& record) {
-  const auto* answered = std::get_if<journal::record::Answered>(&record.what);
-  if (answered == nullptr || answered->owner.empty()) return;
-  ended_before_.push_back(
-      {answered->owner, answered->fingerprint, answered->verdict, record.at, answered->come_back});
-  if (ended_before_.size() > RequestRegistry::kMost) ended_before_.pop_front();
-}
-
 // Guards against a damaged journal that would keep the relay from starting: what can be read is written anew
 // behind what is there, in one image, and the damaged segments go once that is durable. Started again before
 // that, it is read the same way again, since later records of a message count more than earlier ones.
 // Throws std::system_error where the system can't read a segment now.
 void Journal::salvage(journal::Image& image, const std::string& problem) {
-  image = {}, read_.clear(), ended_before_.clear();
+  image = {}, read_.clear();
   const auto found = store::salvage(
       *files_,
       [&](store::Sequence s, std::string_view bytes) {
         journal::Record r;
-        if (journal::decode(bytes, r).empty()) note_end(r), image.apply(s, r);
+        if (journal::decode(bytes, r).empty()) image.apply(s, r);
       },
       store::Unreadable::problem);
   if (found.problem) fail_if_unreadable(*found.problem);
@@ -162,6 +154,7 @@
   for (const auto& [endpoint, wait] : image.waits()) write(wait.first);
   for (const auto& [endpoint, seen] : image.health()) write(seen.first);
   for (const auto& [message, answer] : image.answers()) write(answer.is);
+  for (const auto& [message, end] : image.remembered()) write(end.is);
   for (const auto& [message, held] : image.held()) write(held.now);
   image = std::move(fresh);
 }
@@ -250,7 +243,7 @@
   if (release_to_ != 0) release(release_to_);
   if (!stalled()) {
     const bool pressed = log_->segments() > log_settings_.segments_max / 2;
-    keeper_->tidy(loop_.now(), kTidyAtOnce, pressed);
+    keeper_->tidy(loop_.now(), pressed ? kTidyPressed : kTidyAtOnce, pressed);
     if (dirty_) {
       commit();
       moved_on_();
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -66,14 +66,6 @@
   // finishes what was.
   const char* no_room(std::size_t body) const;
   std::uint64_t bytes() const { return keeper_->written(); }
-  // Ends of messages in earlier runs, as far as the log goes back, oldest first.
-  struct EndedBefore {
-    std::string owner;  // as its client names it
-    std::uint64_t fingerprint = 0;
-    journal::record::Verdict verdict = journal::record::Verdict::failed;
-    Time at = 0, come_back = 0;  // `come_back` from then on
-  };
-  const std::deque<EndedBefore>& ended_before() const { return ended_before_; }
   const Counts& counts() const { return counts_; }
 
   // How a bound is shared out: bytes a segment, and how many.
@@ -83,7 +75,6 @@
   void open_folder();
   void open_log(journal::Image& image);
   void read_log(journal::Image& image);
-  void note_end(const journal::Record& record);
   void salvage(journal::Image& image, const std::string& problem);
   journal::Sequence append(std::string bytes);
   std::error_code write_out();
@@ -98,7 +89,6 @@
   Log log_line_;
   std::unique_ptr<store::Files> files_;
   std::unique_ptr<store::Log> log_;
-  std::deque<EndedBefore> ended_before_;
   std::deque<std::string> overflow_;  // records that the log has no room for yet
   std::vector<std::pair<journal::Sequence, std::size_t>>
       read_;  // records and their bytes; until the keeper is
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -40,14 +40,6 @@
   return limits.sockets > taken + 8 ? limits.sockets - taken : 8;
 }
 
-// A copy carries what is left of its request's time, so none of its client's comes later than the longest
-// time that a message may have; as long again for hosts that are held up.
-Time ends_kept(const Settings& settings) {
-  Time longest = 0;
-  for (const auto& cls : settings.classes) longest = std::max(longest, cls.deadline);
-  return 2 * longest;
-}
-
 std::vector<std::string> in_order(const settings::Names& names) {
   std::vector<std::string> out(names.size());
   for (const auto& [name, place] : names) out[static_cast<std::size_t>(place)] = name;
@@ -103,6 +95,7 @@
   j.keeper.classes = set.classes;
   class_names_ = in_order(config_.names.classes);
   j.keeper.class_names = class_names_;
+  j.keeper.ends_for = ends_kept(set);
   j.keeper.tenant_names = in_order(config_.names.tenants);
   journal_ =
       std::make_unique<Journal>(loop_, std::move(j),
--- a/src/platform/relay_recovery.cpp
+++ b/src/platform/relay_recovery.cpp
@@ -82,10 +82,13 @@
 }
 
 void Relay::recover_ends(Time now) {
-  for (const auto& ended : journal_->ended_before()) {
-    const Time come_back = ended.come_back > 0 ? std::min(ended.at, now) + ended.come_back : 0;
-    requests_.remember(now, ended.owner, ended.fingerprint, state_of(ended.verdict), come_back);
-  }
+  const auto& image = journal_->keeper().image();
+  for (const auto* ends : {&image.remembered(), &image.answers()})
+    for (const auto& [id, end] : *ends) {
+      const Time ended_at = std::min(now, end.is.remember - ends_kept(config_.settings));
+      const Time come_back = end.is.come_back > 0 ? ended_at + end.is.come_back : 0;
+      requests_.remember(now, end.is.owner, end.is.fingerprint, state_of(end.is.verdict), come_back);
+    }
 }
 
 }  // namespace cedarplank::platform
--- a/src/platform/request_registry.cpp
+++ b/src/platform/request_registry.cpp
@@ -12,6 +12,12 @@
 
 }  // namespace
 
+Time ends_kept(const Settings& settings) {
+  Time longest = 0;
+  for (const auto& cls : settings.classes) longest = std::max(longest, cls.deadline);
+  return 2 * longest;
+}
+
 const char* name_of(RequestState state) {
   switch (state) {
     case RequestState::waiting:
--- a/src/platform/request_registry.hpp
+++ b/src/platform/request_registry.hpp
@@ -26,6 +26,11 @@
 
 namespace cedarplank::platform {
 
+// How long ends are remembered, us. A copy carries what is left of its request's time, so none of its
+// client's comes later than the longest time that a message may have; as long again for hosts that are held
+// up.
+Time ends_kept(const Settings& settings);
+
 enum class RequestState { waiting, accepted, delivered, returned, failed };
 const char* name_of(RequestState state);
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -28,11 +28,49 @@
   std::string text;
   for (const auto& [id, h] : image.held()) text += encode({0, h.now}) + "\n";
   for (const auto& [id, a] : image.answers()) text += encode({0, a.is}) + "\n";
+  for (const auto& [id, end] : image.remembered()) text += encode({0, end.is}) + "\n";
   for (const auto& [id, w] : image.waits()) text += encode({0, w.first}) + "\n";
   for (const auto& [id, h] : image.health()) text += encode({0, h.first}) + "\n";
   return text + std::to_string(image.next_id());
 }
 
+TEST(Image, AnEndThatWasHandedOverIsRememberedForItsTime) {
+  Image image;
+  image.apply(1, {1, record::Base{"boot", 1, 1, 1, 0, 1}});
+  record::Answered answered;
+  answered.id = 7, answered.verdict = record::Verdict::failed, answered.owner = "o", answered.fingerprint = 9;
+  answered.until = kS, answered.remember = 5'000;
+  image.apply(2, {10, taken(7, kS)});
+  image.apply(3, {20, answered});
+  EXPECT_TRUE(image.remembered().empty());
+  image.apply(4, {30, record::Gone{7}});
+  EXPECT_TRUE(image.answers().empty());
+  ASSERT_EQ(image.remembered().count(7), 1u);
+  // It comes to the same when it is read again, alone.
+  Image later;
+  Record anew;
+  const auto bytes = encode({40, image.remembered().at(7).is});
+  ASSERT_EQ(decode(bytes, anew), "");
+  later.apply(1, anew);
+  ASSERT_EQ(later.remembered().count(7), 1u);
+  EXPECT_EQ(later.remembered().at(7).is.owner, "o");
+  EXPECT_EQ(later.remembered().at(7).is.fingerprint, 9u);
+  EXPECT_EQ(later.remembered().at(7).is.verdict, record::Verdict::failed);
+  later.apply(2, {50, taken(7, kS)});
+  EXPECT_TRUE(later.held().empty());
+  image.forget_ends(4'999, 10'000);
+  EXPECT_EQ(image.remembered().size(), 1u);
+  image.forget_ends(5'000, 10'000);
+  EXPECT_TRUE(image.remembered().empty());
+  later.forget_ends(0, 0);  // no room for any
+  EXPECT_EQ(later.oldest(), 0u);
+  EXPECT_EQ(later.bytes(), 0u);
+  // Handed over after its time it is not remembered.
+  image.apply(5, {60, answered});
+  image.apply(6, {5'001, record::Gone{7}});
+  EXPECT_TRUE(image.remembered().empty());
+}
+
 // What is written anew stands for all that was written before: a log that begins with it comes to the same.
 TEST(Image, WhatIsCarriedStandsForAllBeforeIt) {
   std::mt19937_64 random(7);
@@ -53,9 +91,19 @@
           r.what = record::Ended{id, static_cast<int>(random() % 5), random() % 2 == 0, "x"};
           break;
         case 2:
-          r.what =
-              record::Answered{id, record::Verdict::served,        0, "pay", 1, "201", "bank", "", "k", "o",
-                               9,  random() % 3 == 0 ? 0 : at + kS};
+          r.what = record::Answered{id,
+                                    record::Verdict::served,
+                                    0,
+                                    "pay",
+                                    1,
+                                    "201",
+                                    "bank",
+                                    "",
+                                    "k",
+                                    "o",
+                                    9,
+                                    random() % 3 == 0 ? 0 : at + kS,
+                                    random() % 2 == 0 ? 0 : at + 500};
           break;
         case 3:
           r.what = record::Gone{id};
