--- a/src/journal/image.cpp
+++ b/src/journal/image.cpp
@@ -11,6 +11,8 @@
          a.idempotency_key.size() + a.owner.size();
 }
 
+std::size_t size_of(const Image::End& end) { return 80 + end.owner.size(); }
+
 std::size_t size_of(const relay::NewMessage& m) {
   return 300 + m.body.size() + m.owner.size() + m.idempotency_key.size();
 }
@@ -38,11 +40,8 @@
     }
     for (auto& [id, a] : answers_)
       if (a.is.until != 0) a.is.until += r.shift, ends_[{a.is.until, id}] = 0;
-    remembered_until_.clear();
-    for (auto& [id, end] : remembered_) {
-      end.is.remember += r.shift;
-      remembered_until_.insert({end.is.remember, id});
-    }
+    for (auto& [id, end] : remembered_) end.until += r.shift;
+    for (auto& [until, id] : remembered_until_) until += r.shift;
     for (auto& [id, w] : waits_) w.first.until += r.shift;
     for (auto& [id, h] : health_) h.first.since += r.shift;
   }
@@ -107,31 +106,35 @@
   if (answer.is.remember > at) remember(answer.first, answer.is);
 }
 
-void Image::remember(Sequence s, record::Answered answer) {
-  answer.handed_over = true;
-  // All that a copy of the message is told by.
-  answer.message_class.clear(), answer.last.clear(), answer.destination.clear(), answer.tenant.clear();
-  answer.idempotency_key.clear();
-  Answer& end = remembered_[answer.id];
-  end_bytes_ += size_of(answer);
-  remembered_until_.insert({answer.remember, answer.id});
+record::Answered Image::End::as_record(MessageId id) const {
+  record::Answered answer;
+  answer.id = id, answer.verdict = verdict, answer.come_back = come_back, answer.owner = owner;
+  answer.fingerprint = fingerprint, answer.remember = until, answer.handed_over = true;
+  return answer;
+}
+
+void Image::remember(Sequence s, const record::Answered& answer) {
+  End& end = remembered_[answer.id];
+  end.owner = answer.owner, end.verdict = answer.verdict, end.come_back = answer.come_back;
+  end.until = answer.remember, end.fingerprint = answer.fingerprint;
+  end_bytes_ += size_of(end);
+  remembered_until_.emplace_back(end.until, answer.id);
   place(end.first, s, {Kind::end, answer.id, {}});
-  end.is = std::move(answer);
 }
 
 void Image::drop_end(MessageId id) {
   const auto it = remembered_.find(id);
   if (it == remembered_.end()) return;
-  remembered_until_.erase({it->second.is.remember, id});
-  end_bytes_ -= size_of(it->second.is);
+  end_bytes_ -= size_of(it->second);
   places_.erase(it->second.first);
   remembered_.erase(it);
 }
 
 void Image::forget_ends(Time now, std::size_t bytes_max) {
   while (!remembered_until_.empty()) {
-    const auto& [until, id] = *remembered_until_.begin();
+    const auto [until, id] = remembered_until_.front();
     if (until > now && end_bytes_ <= bytes_max) return;
+    remembered_until_.pop_front();
     drop_end(id);
   }
 }
@@ -202,7 +205,7 @@
     case Kind::answer:
       return {now, answers_.at(id).is};
     case Kind::end:
-      return {now, remembered_.at(id).is};
+      return {now, remembered_.at(id).as_record(id)};
     case Kind::wait:
       return {now, waits_.at(endpoint).first};
     case Kind::health:
--- a/src/journal/image.hpp
+++ b/src/journal/image.hpp
@@ -5,9 +5,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 
@@ -36,7 +36,15 @@
   const std::map<MessageId, Answer>& answers() const { return answers_; }
   // Ends of messages whose answer was handed over: nothing is owed, but a copy of the message is known by
   // them.
-  const std::map<MessageId, Answer>& remembered() const { return remembered_; }
+  struct End {
+    std::string owner;
+    record::Verdict verdict = record::Verdict::failed;
+    Time come_back = 0, until = 0;  // remembered until then
+    std::uint64_t fingerprint = 0;
+    Sequence first = 0;
+    record::Answered as_record(MessageId id) const;
+  };
+  const std::map<MessageId, End>& remembered() const { return remembered_; }
   // Forgets those whose time is over, and the oldest ones beyond so many bytes. Needs no record: read again
   // from the log they are forgotten again.
   void forget_ends(Time now, std::size_t bytes_max);
@@ -66,7 +74,7 @@
   void place(Sequence& at, Sequence sequence, Place what);
   void drop_held(MessageId id);
   void drop_answer(MessageId id);
-  void remember(Sequence s, record::Answered answer);
+  void remember(Sequence s, const record::Answered& answer);
   void drop_end(MessageId id);
   void on(Sequence s, Time at, const record::Base& r);
   void on(Sequence s, Time at, const record::Taken& r);
@@ -80,8 +88,8 @@
 
   std::map<MessageId, Held> held_;
   std::map<MessageId, Answer> answers_;
-  std::map<MessageId, Answer> remembered_;
-  std::set<std::pair<Time, MessageId>> remembered_until_;
+  std::map<MessageId, End> remembered_;
+  std::deque<std::pair<Time, MessageId>> remembered_until_;  // in the order of their records
   std::map<EndpointId, std::pair<record::Told, Sequence>> waits_;
   std::map<EndpointId, std::pair<record::Seen, Sequence>> health_;
   std::map<Name, MessageId> names_;
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -154,7 +154,7 @@
   for (const auto& [endpoint, wait] : image.waits()) write(wait.first);
   for (const auto& [endpoint, seen] : image.health()) write(seen.first);
   for (const auto& [message, answer] : image.answers()) write(answer.is);
-  for (const auto& [message, end] : image.remembered()) write(end.is);
+  for (const auto& [message, end] : image.remembered()) write(end.as_record(message));
   for (const auto& [message, held] : image.held()) write(held.now);
   image = std::move(fresh);
 }
--- a/src/platform/relay_recovery.cpp
+++ b/src/platform/relay_recovery.cpp
@@ -83,12 +83,17 @@
 
 void Relay::recover_ends(Time now) {
   const auto& image = journal_->keeper().image();
-  for (const auto* ends : {&image.remembered(), &image.answers()})
-    for (const auto& [id, end] : *ends) {
-      const Time ended_at = std::min(now, end.is.remember - ends_kept(config_.settings));
-      const Time come_back = end.is.come_back > 0 ? ended_at + end.is.come_back : 0;
-      requests_.remember(now, end.is.owner, end.is.fingerprint, state_of(end.is.verdict), come_back);
-    }
+  const auto remember = [&](const std::string& name, std::uint64_t fingerprint,
+                            journal::record::Verdict verdict, Time come_back, Time until) {
+    const Time ended_at = std::min(now, until - ends_kept(config_.settings));
+    requests_.remember(now, name, fingerprint, state_of(verdict), come_back > 0 ? ended_at + come_back : 0);
+  };
+  for (const auto& [id, end] : image.remembered())
+    remember(end.owner, end.fingerprint, end.verdict, end.come_back, end.until);
+  for (const auto& [id, answer] : image.answers()) {
+    const auto& is = answer.is;
+    remember(is.owner, is.fingerprint, is.verdict, is.come_back, is.remember);
+  }
 }
 
 }  // namespace cedarplank::platform
