Platform: ends are known for a minute at least; a test waits for the notices it judges by

Change: twice the longest deadline, and 60 s at least. The test reads the notices at its end, as strictly.

--- a/src/platform/request_registry.cpp
+++ b/src/platform/request_registry.cpp
@@ -7,6 +7,8 @@
 namespace cedarplank::platform {
 namespace {
 
+constexpr Time kDuplicatesDieOut = 60'000'000;
+
 // Of 64 bits: two ids are taken for one once in 10^15.
 std::uint64_t hash_of(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
 
@@ -15,7 +17,7 @@
 Time ends_kept(const Settings& settings) {
   Time longest = 0;
   for (const auto& cls : settings.classes) longest = std::max(longest, cls.deadline);
-  return 2 * longest;
+  return std::max(2 * longest, kDuplicatesDieOut);
 }
 
 const char* name_of(RequestState state) {
--- a/src/platform/request_registry.hpp
+++ b/src/platform/request_registry.hpp
@@ -26,9 +26,9 @@
 
 namespace cedarplank::platform {
 
-// How long ends are remembered, us. A copy carries what is left of its request's time, so none of its
-// client's comes later than the longest time that a message may have; as long again for hosts that are held
-// up.
+// How long ends are remembered, us: twice the longest time that a message may have, since its client's copies
+// carry what is left of it; and no less than a minute, since others may hold a copy for longer (2 MSL as
+// systems have it: by then old duplicates have died out on the network, RFC 9293 section 3.4.1).
 Time ends_kept(const Settings& settings);
 
 enum class RequestState { waiting, accepted, delivered, returned, failed };
--- a/tests/platform_repeats_test.cpp
+++ b/tests/platform_repeats_test.cpp
@@ -100,16 +100,18 @@
   const auto ids = hand_in(10);
   fleet.kill(0);
   ASSERT_TRUE(fleet.until([&] { return fleet.ready(0); }, 5'000'000));
-  // Calls that were out at the kill may have run: such a request has its end at the start, and a copy hears
-  // that.
-  std::map<std::string, int> expected;
-  for (const auto& id : ids) expected[id] = request(id).ended_by == "notice failed" ? 500 : 202;
   repeat(ids);
   all_endpoints({});
   fleet.settle();
-  for (const auto& id : ids) EXPECT_EQ(request(id).answers.back().status, expected[id]) << id;
-  EXPECT_GE(std::count_if(expected.begin(), expected.end(), [](const auto& e) { return e.second == 202; }),
-            5);
+  // Calls that were out at the kill may have run: such a request has its end at the start, a copy hears that,
+  // and a notice tells it, by then or a moment later.
+  int taken_on = 0;
+  for (const auto& id : ids) {
+    const bool failed = request(id).noticed > 0 && request(id).noticed_failed;
+    EXPECT_EQ(request(id).answers.back().status, failed ? 500 : 202) << id;
+    taken_on += !failed;
+  }
+  EXPECT_GE(taken_on, 5);
   expect_rules_kept();
 }
 
