--- a/tests/platform_repeats_test.cpp
+++ b/tests/platform_repeats_test.cpp
@@ -215,6 +215,21 @@
   expect_rules_kept();
 }
 
+// The same where the process is killed: its call goes on being delivered by the system, and the next process
+// ends the message.
+TEST_F(PlatformLargeRequests, ACallThatWasOutAtAKillDoesNotArriveAfterTheEnd) {
+  ASSERT_TRUE(fleet.start(0));
+  for (const char* endpoint : {"s-0-0", "s-1-0", "s-2-0"}) fleet.deafen(endpoint, true);
+  const auto ids = hand_in(6);
+  fleet.run(100'000);
+  fleet.kill(0);
+  ASSERT_TRUE(fleet.until([&] { return fleet.end_of(ids[1]) != ""; }, 5'000'000));
+  fleet.run(200'000);
+  for (const char* endpoint : {"s-0-0", "s-1-0", "s-2-0"}) fleet.deafen(endpoint, false);
+  fleet.settle();
+  expect_rules_kept();
+}
+
 // The folder holds some 40 requests of this size before its oldest records are given up. Found by a soak:
 // copies of delivered requests were taken as new ones after a start, and those that must not run twice ran
 // twice.
