Endpoints: a killed process's calls are reset; given-up ones where bytes are buffered

Cause: a SIGKILL closes sockets plainly, so the system went on delivering a call whose message the next start ended as in doubt. Change: connections to endpoints are set to reset when the process ends; a plain close undoes that. A call that is given up, or out at an orderly end, is reset only where bytes are unacknowledged.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -29,6 +29,9 @@
          error == EADDRNOTAVAIL || error == ENETUNREACH || error == EAGAIN;
 }
 
+// With {1, 0} a close resets the connection and drops what has not been acknowledged (socket(7)).
+void set_linger(int fd, linger how) { setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof how); }
+
 }  // namespace
 
 void Fd::reset(int fd) {
@@ -268,16 +271,21 @@
   return fd_ && ioctl(fd_.get(), SIOCOUTQ, &waiting) == 0 && waiting > 0;
 }
 
+void TcpStream::reset_on_exit() {
+  reset_on_exit_ = true;
+  if (fd_) set_linger(fd_.get(), {1, 0});
+}
+
 void TcpStream::close(bool abort) {
   if (!*alive_) return;
   *alive_ = false;
   loop_.cancel(timer_), timer_ = 0;
   if (!fd_) return;
   loop_.unwatch(fd_.get());
-  if (abort) {
-    const linger reset{1, 0};
-    setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-  }
+  if (abort)
+    set_linger(fd_.get(), {1, 0});
+  else if (reset_on_exit_)
+    set_linger(fd_.get(), {0, 0});
   fd_.reset();
 }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -95,6 +95,8 @@
   void pause_reading(bool paused) override;
   void finish(Time linger) override;
   void close(bool abort = false) override;
+  // From now on the system resets the connection where the process ends without closing it.
+  void reset_on_exit();
   int descriptor() const { return fd_.get(); }
   // Whether the peer's machine has not acknowledged all that the kernel took. A plain close goes on
   // delivering such bytes; one with a reset does not.
@@ -118,7 +120,7 @@
   std::string out_;
   std::size_t out_at_ = 0;
   std::uint64_t queued_ = 0, flushed_ = 0;
-  bool failed_here_ = false;
+  bool failed_here_ = false, reset_on_exit_ = false;
   bool connecting_ = false, paused_ = false, finishing_ = false, read_all_ = false;
   short events_ = 0;
   loop::TimerId timer_ = 0;
--- a/src/platform/endpoints.cpp
+++ b/src/platform/endpoints.cpp
@@ -25,7 +25,11 @@
 
 Endpoints::~Endpoints() {
   loop_.cancel(sweep_timer_);
-  for (const auto& [n, link] : links_) loop_.cancel(link->timer), link->stream->close();
+  for (const auto& [n, link] : links_) {
+    loop_.cancel(link->timer);
+    // What is out now ends as in doubt at the next start, perhaps before it would be delivered.
+    link->stream->close(link->size > 0 && link->stream->unacknowledged());
+  }
 }
 
 void Endpoints::learn(const Catalogue& catalogue) {
@@ -191,6 +195,9 @@
                                                                    if (const auto l = weak.lock())
                                                                      closed(l, why);
                                                                  }});
+  // Guards against a call that the system goes on delivering when this process is killed, after the next one
+  // has ended its message (rule 1).
+  link->stream->reset_on_exit();
 }
 
 // What this machine is short of for a moment says nothing of the endpoint: its calls wait for a connection,
@@ -356,10 +363,10 @@
   if (whole && link->members.size() > 1 && !bounds_.second_copies && !over) return Recalled::kept;
   calls_.erase(it);
   link->members.erase(member);
-  // A call that is given up is reset. Guards against bytes that a plain close goes on delivering, from here
-  // or from a proxy that holds them, once the message had its end (rule 1).
+  // Guards against bytes that wait in this machine's buffers, and that a plain close goes on delivering once
+  // the message had its end (rule 1).
   if (link->members.empty())
-    drop(link, whole ? Close::reset : Close::plain);
+    drop(link, whole && link->stream->unacknowledged() ? Close::reset : Close::plain);
   else if (!link->begun)
     link->size = link->members.size();
   else if (!whole)
