--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -171,9 +171,10 @@
     const auto told = name == nullptr ? std::string("-") : name->substr(0, kMostIdLogged);
     return turn_away(client, told, unfit->status, unfit->why);
   }
-  if (const auto known = requests_.find(loop_.now(), in.id, fingerprint_of(in.message)))
+  const auto fingerprint = fingerprint_of(in.message);
+  if (const auto known = requests_.find(loop_.now(), in.id, fingerprint))
     return answer_known(client, in.id, *known);
-  take(client, std::move(in));
+  take(client, std::move(in), fingerprint);
 }
 
 void Relay::health(Clients::Number client, const http1::Message& request) {
@@ -182,8 +183,7 @@
   turn_away(client, "-", 503, stopping_ ? "stopping" : "no list is known yet");
 }
 
-void Relay::take(Clients::Number client, HandedIn in) {
-  const auto fingerprint = fingerprint_of(in.message);
+void Relay::take(Clients::Number client, HandedIn in, std::uint64_t fingerprint) {
   const auto refuse = [&](const char* why) {
     requests_.remember(loop_.now(), in.id, fingerprint, RequestState::returned);
     turn_away(client, in.id, 503, why);
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -54,7 +54,7 @@
   };
   void request(Clients::Number client, http1::Message& request);
   void health(Clients::Number client, const http1::Message& request);
-  void take(Clients::Number client, HandedIn in);
+  void take(Clients::Number client, HandedIn in, std::uint64_t fingerprint);
   void answer_known(Clients::Number client, const std::string& name, const RequestRegistry::Known& known);
   void turn_away(Clients::Number client, const std::string& name, int status, const char* why);
   std::uint64_t fingerprint_of(const relay::NewMessage& message) const;
--- a/src/platform/request_registry.hpp
+++ b/src/platform/request_registry.hpp
@@ -8,9 +8,9 @@
 //   waiting -> unknown                                  all its clients left before any word; nothing has run
 //
 // A request may come again under its id: a client whose connection ended with no answer sends it once more
-// (PROTOCOL, clients to relays) and can't know whether it was read; others hedge. Guards against a copy that
-// is answered as failed while the first one goes on being sent (rule 1), and against one that is taken as a
-// new message once the first had its end (rules 1 and 2).
+// and can't know whether it was read; others hedge. Guards against a copy that is answered as failed while
+// the first one goes on being sent (rule 1), and against one that is taken as a new message once the first
+// had its end (rules 1 and 2).
 #pragma once
 
 #include <cstdint>
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -437,19 +437,6 @@
   return request.id;
 }
 
-Fleet::ClientLinkPtr Fleet::waiting_link(const std::string& id) {
-  for (const auto& [raw, link] : at(judge.requests.at(id).relay).busy)
-    if (link->id == id) return link;
-  return nullptr;
-}
-
-void Fleet::break_client_of(const std::string& id) {
-  const auto link = waiting_link(id);
-  if (!link) return;
-  link->stream->close(true);
-  lost(judge.requests.at(id).relay, link, "reset");
-}
-
 void Fleet::repeat(const std::string& id) {
   const int relay = judge.requests.at(id).relay;
   if (!running(relay)) return;
@@ -517,7 +504,7 @@
   at(relay).idle.push_back(link);
 }
 
-// A request that crosses the end of its connection is sent once more on a new one (PROTOCOL). Its client
+// A request that crosses the end of its connection is sent once more on a new one. Its client
 // can't tell whether it was read, so it does so wherever its connection ends with no answer.
 void Fleet::lost(int relay, const ClientLinkPtr& link, const std::string&) {
   std::erase(at(relay).idle, link);
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -86,8 +86,6 @@
   void misuse_the_id_of(
       const std::string& id, std::function<void(int)> answered = [](int) {});
   void misuse_a_recent_id(int relay);
-  // Resets the connection on which its client waits; the client then sends it once more.
-  void break_client_of(const std::string& id);
   // The endpoint accepts connections and reads nothing from them.
   void deafen(const std::string& endpoint, bool deaf);
   std::string end_of(const std::string& id) const;  // "delivered", "notice returned", ...; empty: none
@@ -139,7 +137,6 @@
   void write(int relay, const ClientLinkPtr& link, const std::string& id);
   void answered(int relay, const ClientLinkPtr& link);
   void send_once_more(const std::string& id);
-  ClientLinkPtr waiting_link(const std::string& id);
   void lost(int relay, const ClientLinkPtr& link, const std::string& why);
   void release(int relay, const ClientLinkPtr& link);
   void next_request(int relay);
--- a/tests/faults/judge.hpp
+++ b/tests/faults/judge.hpp
@@ -23,7 +23,7 @@
   Time at = 0;
   int status = 0;
   bool accepts() const { return status / 100 == 2; }
-  // "Handing it in again is harmless" (PROTOCOL, clients to relays).
+  // Handing it in again is harmless.
   bool refuses() const { return status == 503 || status == 429; }
 };
 
--- a/tests/platform_repeats_test.cpp
+++ b/tests/platform_repeats_test.cpp
@@ -133,8 +133,7 @@
   expect_rules_kept();
 }
 
-// What an end was is kept, over a start too: "a delivered message that may be repeated is answered as
-// delivered again" (PROTOCOL, the rules on sockets).
+// What an end was is kept, over a start too: a delivered message is answered as delivered again.
 TEST_F(PlatformRepeats, ACopyOfAnEndedRequestHearsItsEnd) {
   ASSERT_TRUE(fleet.start(0));
   const auto all_over = [&](const std::vector<std::string>& ids) {
@@ -170,9 +169,8 @@
   expect_rules_kept();
 }
 
-// 410: "the message is over, nothing more is owed"; 504: "the message has had all its attempts; its end is
-// still owed" (PROTOCOL, relays to endpoints). Both were taken for "not sent, try elsewhere", up to eight
-// times.
+// 410 says that a message is over, 504 that it has had all its attempts. Both were taken for "not sent, try
+// elsewhere", up to eight times.
 TEST_F(PlatformRepeats, WhatAnEndpointSaysIsOverIsNotSentAgain) {
   ASSERT_TRUE(fleet.start(0));
   for (const auto what : {Reply::What::over, Reply::What::exhausted}) {
