Platform log: each call's connection, and bytes that no call asked for

The fault fleet's endpoints can write second copies of answers, and its server honours requests to close the connection. relay::CallResult says which connection a call used. Result: PlatformAnswers.TheLogTellsTheConnectionOfEachCallAndBytesNobodyAskedFor reads the lines of a real process and passes. No decision is changed.

--- a/app/platform.cpp
+++ b/app/platform.cpp
@@ -22,7 +22,7 @@
   return loop::monotonic_now() - (std::int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1'000);
 }
 
-int run_platform(const std::string& file) {
+int run_platform(const std::string& file, int log_lines_per_second) {
   // Blocked before anything else: a signal that arrives during start-up stays pending until its handler is
   // set.
   sigset_t signals;
@@ -37,7 +37,7 @@
     log.write(event, {{"text", text}});
   };
   loop::Loop loop;
-  platform::Relay relay(loop, std::move(config), log_event);
+  platform::Relay relay(loop, std::move(config), log_event, log_lines_per_second);
   const auto stop = [&] {
     log_event("stopping", relay.counts());
     relay.stop([&] { loop.stop(); });
@@ -71,7 +71,11 @@
   command->add_option("--config", *file, "the platform's configuration, as JSON")
       ->envname("GW_CONFIG")
       ->required();
-  command->callback([&run, file] { run = [file] { return run_platform(*file); }; });
+  auto lines = std::make_shared<int>(platform::EventLog::kLinesPerSecond);
+  command->add_option("--log-lines", *lines, "the most log lines a second for each kind of event")
+      ->check(CLI::PositiveNumber)
+      ->capture_default_str();
+  command->callback([&run, file, lines] { run = [file, lines] { return run_platform(*file, *lines); }; });
 }
 
 }  // namespace cedarplank::app
--- a/src/platform/endpoint_transport.cpp
+++ b/src/platform/endpoint_transport.cpp
@@ -13,9 +13,10 @@
 constexpr Time kSweepInterval = 50'000;
 // From the call's other bytes to its last one, for a dead connection to show.
 constexpr Time kLastByteDelay = 2'000;
-constexpr Time kHeadTimeout = 100'000;    // from a status line with 200 to the end of the head
-constexpr Time kReconnectDelay = 30'000;  // until the next try after this machine ran out of a resource
-constexpr Time kRestTimeout = 1'000'000;  // from an outcome to the end of the answer
+constexpr Time kHeadTimeout = 100'000;          // from a status line with 200 to the end of the head
+constexpr Time kReconnectDelay = 30'000;        // until the next try after this machine ran out of a resource
+constexpr std::size_t kMaxPeekedBytes = 1'024;  // looked at on an idle connection, for the log
+constexpr Time kRestTimeout = 1'000'000;        // from an outcome to the end of the answer
 
 }  // namespace
 
@@ -90,6 +91,8 @@
   for (const auto& call : bundle) calls_[call.id] = conn;
   conn->message_count = bundle.size(), conn->members = std::move(bundle);
   conn->ordered_at = ordered, conn->outcome_reported = conn->writing_started = false;
+  conn->idle_before_call = conn->call_count > 0 ? loop_.now() - conn->idle_since : 0;
+  conn->call_count++;
   if (conn->connected) write_call(conn);
 }
 
@@ -144,10 +147,10 @@
     it->second.pop_back();
     // Guards against a connection that was closed, or on which bytes arrived, since the last poll: a call
     // written to it might or might not run, or get the answer to another call.
-    char byte = 0;
-    const int fd = conn->stream->descriptor();
-    const bool quiet =
-        recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    char unread[kMaxPeekedBytes];
+    const ssize_t received = recv(conn->stream->descriptor(), unread, sizeof unread, MSG_PEEK | MSG_DONTWAIT);
+    const bool quiet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (received > 0) report_unasked(*conn, static_cast<std::size_t>(received));
     const bool old = loop_.now() - conn->idle_since > bounds_.idle - kIdleMargin;
     if (quiet && !old && conn->address == address) return counts_.reused++, conn;
     counts_.stale++;
@@ -225,7 +228,10 @@
 void EndpointTransport::handle_data(const ConnectionPtr& conn, std::string_view bytes) {
   // Bytes without a call: noise, or a second copy of the last answer. A later answer could not be told apart
   // from them.
-  if (conn->message_count == 0) return close_connection(conn);
+  if (conn->message_count == 0) {
+    report_unasked(*conn, bytes.size());
+    return close_connection(conn);
+  }
   auto& reader = conn->reader;
   const auto taken = reader.consume(bytes);
   using State = http1::Parser::State;
@@ -234,7 +240,7 @@
   const bool head = reader.state() == State::body || reader.state() == State::complete;
   if (reader.state() == State::broken) {
     counts_.spoilt++;
-    host_.log("malformed answer from " + conn->endpoint + ": " + reader.problem());
+    log("malformed answer from " + conn->endpoint + ": " + reader.problem());
     return handle_malformed_answer(conn);
   }
   if (single && !conn->outcome_reported) {
@@ -254,6 +260,7 @@
                         for (const auto& m : conn->members) ids.push_back(m.message->owner);
                         return ids;
                       }()));
+    if (taken < bytes.size()) report_unasked(*conn, bytes.size() - taken);
     return finish_call(conn, taken == bytes.size() && !reader.message().close);
   }
   if (conn->outcome_reported && conn->timer == 0)
@@ -296,7 +303,7 @@
 void EndpointTransport::handle_close(const ConnectionPtr& conn, const std::string& why) {
   if (reconnect_later(conn)) return;
   if (conn->message_count > 0 && !conn->outcome_reported)
-    host_.log("closed " + conn->endpoint + ": " + why + (cannot_have_run(*conn) ? ", nothing has run" : ""));
+    log("closed " + conn->endpoint + ": " + why + (cannot_have_run(*conn) ? ", nothing has run" : ""));
   conn->reader.end_of_input();
   const auto state = conn->reader.state();
   if (conn->message_count > 0 && !conn->outcome_reported) {
@@ -318,6 +325,21 @@
   close_connection(conn);
 }
 
+void EndpointTransport::report_unasked(const Connection& conn, std::size_t bytes) {
+  counts_.unasked++, counts_.unasked_bytes += bytes;
+  if (host_.log == nullptr) return;
+  host_.log->line(Event::unasked, conn.last_answered, [&] {
+    return "endpoint=" + conn.endpoint + " connection=" + std::to_string(conn.number) +
+           " calls=" + std::to_string(conn.call_count) + " bytes=" + std::to_string(bytes) +
+           (conn.message_count == 0 ? " idle_ms=" + std::to_string((loop_.now() - conn.idle_since) / 1000)
+                                    : " during a call");
+  });
+}
+
+void EndpointTransport::log(const std::string& text) {
+  if (host_.log != nullptr) host_.log->log_text(Event::endpoints, text);
+}
+
 // After a call: keeps the connection as idle, or closes it.
 void EndpointTransport::finish_call(const ConnectionPtr& conn, bool reusable) {
   loop_.cancel(conn->timer), conn->timer = 0;
@@ -335,8 +357,13 @@
   conn->outcome_reported = true;
   auto members = std::move(conn->members);
   conn->members.clear();
+  if (!members.empty()) conn->last_answered = members.front().message->owner;
   for (const auto& m : members) calls_.erase(m.id);
-  for (std::size_t i = 0; i < members.size(); i++) host_.ended(members[i].id, endings[i]);
+  for (std::size_t i = 0; i < members.size(); i++) {
+    relay::CallResult ending = endings[i];
+    ending.connection = {conn->number, conn->call_count, conn->idle_before_call};
+    host_.ended(members[i].id, std::move(ending));
+  }
 }
 
 void EndpointTransport::report_same_outcome(const ConnectionPtr& conn, const relay::CallResult& ending) {
--- a/src/platform/endpoint_transport.hpp
+++ b/src/platform/endpoint_transport.hpp
@@ -15,6 +15,7 @@
 #include "loop/loop.hpp"
 #include "net/socket.hpp"
 #include "platform/catalogue.hpp"
+#include "platform/event_log.hpp"
 #include "relay/core.hpp"
 
 namespace cedarplank::platform {
@@ -24,7 +25,7 @@
   struct Host {
     // A call has its outcome. Not called from within the relay::Transport functions.
     std::function<void(relay::CallId, relay::CallResult)> ended;
-    std::function<void(const std::string&)> log;
+    EventLog* log = nullptr;  // may be null
   };
   struct Bounds {
     std::size_t connections = 256;  // at once, including idle ones
@@ -33,9 +34,11 @@
     bool second_copies = true;  // a message may be in flight on two connections
   };
   // spoilt: malformed answers. stale: idle connections found closed, too old or of an old address. moved:
-  // calls that went to another connection. full: calls for which no descriptor was left.
+  // calls that went to another connection. full: calls for which no descriptor was left. unasked: how often
+  // bytes came that belong to no call, and how many.
   struct Counts {
     std::uint64_t calls = 0, reused = 0, opened = 0, spoilt = 0, stale = 0, moved = 0, full = 0;
+    std::uint64_t unasked = 0, unasked_bytes = 0;
   };
   EndpointTransport(loop::Loop& loop, Bounds bounds, Host host);
   ~EndpointTransport() override;
@@ -69,6 +72,9 @@
     std::uint64_t end_offset = 0;              // offset in the stream at which the call ends, once begun
     char last_byte = 0;                        // of the call: sent a moment after the other bytes
     Time ordered_at = 0;                       // when the call was ordered
+    unsigned call_count = 0;                   // calls that the connection has carried, with this one
+    Time idle_before_call = 0;                 // how long it was idle before this call
+    std::string last_answered;                 // client id of the first message of the last answered call
     bool reused = false;                       // the connection has carried an earlier call
     std::vector<relay::OutgoingCall> members;  // messages of the call that have no outcome yet
     std::size_t message_count = 0;             // messages that the call has, or will start with; 0: idle
@@ -91,6 +97,9 @@
   ConnectionPtr open_connection(const EndpointId& endpoint, const std::string& address);
   void handle_data(const ConnectionPtr& conn, std::string_view bytes);
   void handle_close(const ConnectionPtr& conn, const std::string& why);
+  // Counts and logs bytes that belong to no call.
+  void report_unasked(const Connection& conn, std::size_t bytes);
+  void log(const std::string& text);
   void handle_early_answer(const ConnectionPtr& conn);
   void handle_malformed_answer(const ConnectionPtr& conn);
   void finish_call(const ConnectionPtr& conn, bool reusable);
--- a/src/platform/event_log.cpp
+++ b/src/platform/event_log.cpp
@@ -26,6 +26,10 @@
       return "withdrawn";
     case Event::attempt:
       return "attempt";
+    case Event::delivered:
+      return "delivered";
+    case Event::unasked:
+      return "unasked";
     case Event::retry:
       return "retry";
     case Event::said_over:
@@ -52,7 +56,7 @@
       sink_("left_out", std::to_string(left_out) + " lines of " + name_of(event) +
                             std::exchange(share.suppressed_ids, {}));
   }
-  if (share.lines >= kLinesPerSecond) return share.suppressed++, false;
+  if (share.lines >= lines_per_second_) return share.suppressed++, false;
   share.lines++;
   return true;
 }
--- a/src/platform/event_log.hpp
+++ b/src/platform/event_log.hpp
@@ -24,6 +24,8 @@
   repeated,     // a request under a known id: its state, and the answer given
   withdrawn,    // a message was cancelled: its client left before it was acknowledged
   attempt,      // an attempt ended without delivery
+  delivered,    // an attempt delivered its message
+  unasked,      // an endpoint sent bytes that belong to no call
   retry,        // an attempt after the first, or any attempt of a message that an earlier run accepted
   said_over,    // an endpoint says that nothing more is to be sent for a message
   ended,        // a message got its final answer without having been delivered
@@ -36,7 +38,9 @@
 class EventLog {
  public:
   using Sink = std::function<void(const char* event, const std::string& text)>;
-  explicit EventLog(Sink sink) : sink_(std::move(sink)) {}
+  // `lines_per_second`: the limit for each kind of event.
+  explicit EventLog(Sink sink, int lines_per_second = kLinesPerSecond)
+      : sink_(std::move(sink)), lines_per_second_(lines_per_second) {}
 
   // Logs the text that `text` returns. `text` is called only if the line is written, so that a suppressed
   // line costs almost nothing.
@@ -57,7 +61,7 @@
     line(event, [&]() -> const std::string& { return text; });
   }
 
-  static constexpr int kLinesPerSecond = 12;                   // for each kind
+  static constexpr int kLinesPerSecond = 12;                   // for each kind, unless set
   static constexpr std::size_t kMaxSuppressedIdBytes = 1'024;  // bytes of ids in a line about suppressed ones
 
  private:
@@ -74,6 +78,7 @@
   void note_suppressed(Event event, const std::string& id);
 
   Sink sink_;
+  const int lines_per_second_;
   std::map<Event, LineBudget> budgets_;
 };
 
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -50,23 +50,22 @@
 
 }  // namespace
 
-Relay::Relay(loop::Loop& loop, Config config, LogSink log)
+Relay::Relay(loop::Loop& loop, Config config, LogSink log, int log_lines_per_second)
     : loop_(loop),
       config_(std::move(config)),
-      log_(std::move(log)),
+      log_(std::move(log), log_lines_per_second),
       requests_(final_answer_retention(config_.settings)) {
   const auto& set = config_.settings;
   endpoints_ = std::make_unique<EndpointTransport>(
       loop_,
       EndpointTransport::Bounds{max_endpoint_connections(config_.limits, set.slots), set.connect_timeout,
                                 set.connection_idle, set.second_copies},
-      EndpointTransport::Host{
-          .ended =
-              [this](relay::CallId call, relay::CallResult ending) {
-                core_->call_ended(loop_.refresh_now(), call, std::move(ending));
-                schedule_turn();
-              },
-          .log = [this](const std::string& text) { log_.log_text(Event::endpoints, text); }});
+      EndpointTransport::Host{.ended =
+                                  [this](relay::CallId call, relay::CallResult ending) {
+                                    core_->call_ended(loop_.refresh_now(), call, std::move(ending));
+                                    schedule_turn();
+                                  },
+                              .log = &log_});
   notices_ = std::make_unique<NoticeSender>(
       loop_, config_.discovery,
       NoticeSender::Host{.accepted =
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -29,8 +29,8 @@
  public:
   using LogSink = EventLog::Sink;
   // Opens the journal, recovers what it holds, and starts to listen. Throws an exception that names the
-  // cause.
-  Relay(loop::Loop& loop, Config config, LogSink log);
+  // cause. `log_lines_per_second`: the limit for each kind of event.
+  Relay(loop::Loop& loop, Config config, LogSink log, int log_lines_per_second = EventLog::kLinesPerSecond);
   ~Relay() override;
 
   // Applies a new configuration. Only the address of discovery can change while the relay runs.
--- a/src/platform/relay_counts.cpp
+++ b/src/platform/relay_counts.cpp
@@ -17,7 +17,8 @@
       pair("refused", c.refused) + pair("failed", c.failed) + pair("withdrawn", c.withdrawn) +
       pair("held", core_->held()) + pair("calls", e.calls) + pair("calls_out", endpoints_->calls_out()) +
       pair("reused", e.reused) + pair("opened", e.opened) + pair("stale", e.stale) + pair("moved", e.moved) +
-      pair("spoilt", e.spoilt) + pair("no_descriptor", e.full) + pair("links", endpoints_->connections()) +
+      pair("spoilt", e.spoilt) + pair("unasked", e.unasked) + pair("unasked_bytes", e.unasked_bytes) +
+      pair("no_descriptor", e.full) + pair("links", endpoints_->connections()) +
       pair("clients", clients_->connections()) + pair("accepted", k.accepted) + pair("requests", k.requests) +
       pair("unread", k.unread) + pair("evicted", k.evicted) + pair("ended_once", k.ended_once) +
       pair("timed_out", k.timed_out) + pair("notices", notices_->size()) +
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -63,6 +63,13 @@
   exhausted,      // the message has used all its attempts
 };
 
+// Which connection a call went out on, as far as the transport reports it.
+struct ConnectionUse {
+  std::uint64_t number = 0;  // of the connection, within this run of the relay; 0: not reported
+  unsigned call = 0;         // the connection's n-th call, from 1
+  Time idle = 0;             // how long the connection had been idle before the call
+};
+
 // The result of a call, as seen on the connection.
 struct CallResult {
   Outcome outcome = Outcome::served;
@@ -71,6 +78,7 @@
   std::string detail;    // status or reason, as text for logs and clients
   std::string location;  // served: the location of the message as reported by the endpoint
   RetryStatus retry_status = RetryStatus::allowed;
+  ConnectionUse connection = {};
 };
 
 // Sends calls to endpoints and cancels them.
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -49,7 +49,7 @@
   folder_ = mkdtemp(name);
   checker.started_at = loop.now();
   discovery_ = std::make_unique<Server>(
-      loop, [this](const http1::Message& m, int) { return handle_discovery_request(m); });
+      loop, [this](const http1::Message& m, int n) { return handle_discovery_request(m, n); });
   for (int d = 0; d < settings_.destinations; d++)
     for (int e = 0; e < settings_.endpoints_per_destination; e++) {
       const std::string id = "s-" + std::to_string(d) + "-" + std::to_string(e);
@@ -114,7 +114,8 @@
          std::to_string(settings_.unsafe_deadline) +
          R"(,"Idempotency":"non_idempotent"}],"Tenants":[{"Name":"acme","QuotaPerS":1000}],)"
          R"("FailureDomains":["east"],"HostTypes":["small"],"FamilyInfo":{"Workers":)" +
-         std::to_string(settings_.slots) + R"(,"Decay":"halves","BundleMax":[1],"RoutesApart":[)" +
+         std::to_string(settings_.slots) + R"(,"Decay":"halves","BundleMax":[)" +
+         std::to_string(settings_.bundle_max) + R"(],"RoutesApart":[)" +
          (settings_.routes_apart ? "true" : "false") +
          R"(]},"Limits":{"OpenCap":400,"MaxAttempts":8,)"
          R"("Cancelling":true,"SecondCopies":true,"ConnectTimeout":500000,"ConnIdle":2000000,)"
@@ -135,7 +136,7 @@
           "ASAN_OPTIONS=verify_asan_link_order=0:" +
               std::string(getenv("ASAN_OPTIONS") == nullptr ? "" : getenv("ASAN_OPTIONS")),
           std::string(kControlFileVariable) + "=" + r.control_file, settings_.program, "platform", "--config",
-          r.config_file},
+          r.config_file, "--log-lines", std::to_string(settings_.log_lines)},
       [this, relay](const std::string& line) {
         auto& log = relay_at(relay).log;
         if (log.size() < kMostLog) log.push_back(line);
@@ -257,8 +258,9 @@
   reply = [](const auto&, const auto&) { return Reply{}; };
   proxy_delay = [] { return Time{0}; };
   client_reset_after = [] { return std::nullopt; };
+  second_copy = [](const auto&, int) { return std::nullopt; };
   hedged_share = 0;
-  discovery_up = true;
+  discovery_up = true, repeat_notice_answers = false;
   for (auto& relay : relays_) {
     Control& c = *relay.control;
     c.write_error = c.create_error = c.allocate_error = c.rename_error = c.remove_error = c.read_error = 0;
@@ -272,11 +274,20 @@
 
 // ---- the platform ----
 
-Server::Reply Fleet::handle_discovery_request(const http1::Message& m) {
-  if (m.target == "/v1/outcomes") {
-    handle_notices(m.body);
-    return {http1::build_response(204, {}, {}, false)};
+Server::Reply Fleet::handle_notice_post(const http1::Message& m, int connection) {
+  int& accepted = notice_posts_[connection];
+  if (repeat_notice_answers && accepted > 0) {
+    accepted = 0;
+    discovery_->write_unasked(connection, http1::build_response(204, {}, {}, false));
+    return {http1::build_response(503, {}, {}, false)};
   }
+  accepted++;
+  handle_notices(m.body);
+  return {http1::build_response(204, {}, {}, false)};
+}
+
+Server::Reply Fleet::handle_discovery_request(const http1::Message& m, int connection) {
+  if (m.target == "/v1/outcomes") return handle_notice_post(m, connection);
   if (!discovery_up) return {http1::build_response(503, {}, {}, false), Server::Reply::Disposition::close};
   if (m.target == "/catalog/members") return {http1::build_response(200, {}, endpoint_list(), false)};
   // The list never changes: a watch stays open, and a request for missed changes gets an empty answer.
@@ -309,7 +320,8 @@
 Server::Reply Fleet::handle_call(const std::string& endpoint, const http1::Message& m, int connection) {
   const Time now = loop::monotonic_now();
   std::vector<std::string> ids;
-  if (m.target == "/inbox/bulk")
+  const bool bulk = m.target == "/inbox/bulk";
+  if (bulk)
     ids = bulk_ids(m.body);
   else if (const auto* id = m.find("x-call-id"))
     ids.push_back(*id);
@@ -323,51 +335,85 @@
                    planned.kind != Kind::gone && planned.kind != Kind::exhausted;
   if (m.target == "/inbox" && m.body != settings_.body)
     checker.immediate_violations.push_back("another request's body was sent under the id " + ids.front());
+  std::vector<CallIndex> members;
   for (const auto& id : ids)
-    if (const auto it = checker.requests.find(id); it != checker.requests.end())
+    if (const auto it = checker.requests.find(id); it != checker.requests.end()) {
+      members.push_back({id, it->second.calls.size()});
       it->second.calls.push_back({now, endpoint, ran});
+    }
+  write_due_copies(endpoint, connection);
   Server& server = *endpoints_.at(endpoint).server;
-  loop.after(planned.delay, [this, &server, planned, ids, endpoint, connection, alive = alive_] {
-    if (!*alive || !server.is_open(connection)) return;
-    switch (planned.kind) {
-      case Reply::Kind::hang:
-        return;
-      case Reply::Kind::reset:
-        return server.reset(connection);
-      case Reply::Kind::refuse:
-        return server.write(connection, http1::build_response(503, {}, {}, false));
-      case Reply::Kind::told_wait:
-        if (const auto it = checker.requests.find(ids.front()); it != checker.requests.end()) {
-          const Time told_at = loop::monotonic_now();
-          checker.waits.push_back({endpoint, it->second.relay, told_at, told_at + planned.retry_after});
+  loop.after(
+      planned.delay, [this, &server, planned, ids, members, bulk, endpoint, connection, alive = alive_] {
+        if (!*alive || !server.is_open(connection)) return;
+        const auto answer = [&](int status, const std::vector<http1::Field>& fields = {},
+                                const std::string& body = {}) {
+          write_answer(endpoint, connection, members, status, fields, body);
+        };
+        switch (planned.kind) {
+          case Reply::Kind::hang:
+            return;
+          case Reply::Kind::reset:
+            return server.reset(connection);
+          case Reply::Kind::refuse:
+            return answer(503);
+          case Reply::Kind::told_wait:
+            if (const auto it = checker.requests.find(ids.front()); it != checker.requests.end()) {
+              const Time told_at = loop::monotonic_now();
+              checker.waits.push_back({endpoint, it->second.relay, told_at, told_at + planned.retry_after});
+            }
+            return answer(429, {{"Retry-After", http1::format_seconds(planned.retry_after)}});
+          case Reply::Kind::error:
+            return answer(500);
+          case Reply::Kind::gone:
+          case Reply::Kind::exhausted: {
+            const auto it = checker.requests.find(ids.front());
+            if (it != checker.requests.end() && it->second.endpoint_ended == 0)
+              it->second.endpoint_ended = loop::monotonic_now();
+            return answer(planned.kind == Reply::Kind::gone ? 410 : 504);
+          }
+          case Reply::Kind::ok:
+            break;
         }
-        return server.write(
-            connection, http1::build_response(
-                            429, {{"Retry-After", http1::format_seconds(planned.retry_after)}}, {}, false));
-      case Reply::Kind::error:
-        return server.write(connection, http1::build_response(500, {}, {}, false));
-      case Reply::Kind::gone:
-      case Reply::Kind::exhausted: {
-        const auto it = checker.requests.find(ids.front());
-        if (it != checker.requests.end() && it->second.endpoint_ended == 0)
-          it->second.endpoint_ended = loop::monotonic_now();
-        const int status = planned.kind == Reply::Kind::gone ? 410 : 504;
-        return server.write(connection, http1::build_response(status, {}, {}, false));
-      }
-      case Reply::Kind::ok:
-        break;
-    }
-    std::string body;
-    for (const auto& id : ids) body += ids.size() > 1 ? id + " ok\r\n" : "";
-    server.write(connection, http1::build_response(200, {}, body, false));
-    for (const auto& id : ids)
-      if (const auto it = checker.requests.find(id);
-          it != checker.requests.end() && it->second.delivered == 0)
-        it->second.delivered = loop::monotonic_now();
-  });
+        std::string body;
+        if (bulk)
+          for (const auto& id : ids) body += id + " ok\r\n";
+        answer(200, {}, body);
+        for (const auto& id : ids)
+          if (const auto it = checker.requests.find(id);
+              it != checker.requests.end() && it->second.delivered == 0)
+            it->second.delivered = loop::monotonic_now();
+      });
   return {};
 }
 
+void Fleet::write_answer(const std::string& endpoint, int connection, const std::vector<CallIndex>& members,
+                         int status, const std::vector<http1::Field>& fields, const std::string& body) {
+  Endpoint& e = endpoints_.at(endpoint);
+  const std::string bytes = http1::build_response(status, fields, body, false);
+  for (const auto& member : members) checker.requests.at(member.id).calls[member.index].answered = status;
+  e.server->write(connection, bytes);
+  const auto copy = second_copy(endpoint, status);
+  if (!copy) return;
+  if (copy->after == SecondCopy::After::next_call) {
+    e.due_copies[connection] = {bytes, copy->delay};
+    return;
+  }
+  loop.after(copy->delay, [&server = *e.server, connection, bytes, alive = alive_] {
+    if (*alive) server.write_unasked(connection, bytes);
+  });
+}
+
+void Fleet::write_due_copies(const std::string& endpoint, int connection) {
+  Endpoint& e = endpoints_.at(endpoint);
+  const auto due = e.due_copies.find(connection);
+  if (due == e.due_copies.end()) return;
+  loop.after(due->second.delay, [&server = *e.server, connection, bytes = due->second.bytes, alive = alive_] {
+    if (*alive) server.write_unasked(connection, bytes);
+  });
+  e.due_copies.erase(due);
+}
+
 // ---- clients ----
 
 Fleet::ClientConnectionPtr Fleet::connect(int relay) {
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -32,6 +32,8 @@
   std::string body = "hello";
   // Endpoints answer 410 to a call of a message that has its final answer, or that its client has abandoned.
   bool endpoints_answer_gone = false;
+  int bundle_max = 1;     // messages that an endpoint takes in one call
+  int log_lines = 1'000;  // that a relay may write per second, for each kind of event
 };
 
 // How an endpoint responds to a call: 410 says that the message has ended, 504 that its attempts are
@@ -42,6 +44,13 @@
   Time retry_after = 0;  // Retry-After, for told_wait
 };
 
+// A second copy of an answer, written on the connection of the first one. The answer itself is written once,
+// to the call that it belongs to.
+struct SecondCopy {
+  enum class After { answer, next_call } after = After::next_call;
+  Time delay = 0;  // after the first copy, or after the last byte of the connection's next call
+};
+
 // Relays, clients, endpoints and platform of one test.
 class Fleet {
  public:
@@ -59,7 +68,13 @@
   // Called for each request that is written: after how long its client's connection is reset, if at all.
   std::function<std::optional<Time>()> client_reset_after = [] { return std::nullopt; };
   double hedged_share = 0;  // share of requests sent twice at once, on two connections
+  // Called for each answer that an endpoint writes: the second copy that follows it, if any.
+  std::function<std::optional<SecondCopy>(const std::string& endpoint, int status)> second_copy =
+      [](const auto&, int) { return std::nullopt; };
   bool discovery_up = true;
+  // The next post of notices on a connection that has carried one fails, and a second copy of the answer to
+  // the earlier one comes at that moment.
+  bool repeat_notice_answers = false;
 
   Control& faults(int relay) { return *relays_.at(static_cast<std::size_t>(relay)).control; }
   // Starts the relay. Returns false where it was not ready within 10 s.
@@ -126,8 +141,18 @@
     std::vector<ClientConnectionPtr> idle, extra_connections;
     std::map<ClientConnection*, ClientConnectionPtr> busy;
   };
+  // A call among those that the checker recorded of a request.
+  struct CallIndex {
+    std::string id;
+    std::size_t index;
+  };
+  struct DueCopy {
+    std::string bytes;
+    Time delay;
+  };
   struct Endpoint {
     int destination = 0;
+    std::map<int, DueCopy> due_copies;  // by connection, for its next call
     std::unique_ptr<Server> server;
     std::unique_ptr<Proxy> proxy;
   };
@@ -135,9 +160,15 @@
   std::string relay_config(int relay) const;
   std::string endpoint_list() const;
   // The platform's HTTP interface: notices, the list of endpoints, and the watch on it.
-  Server::Reply handle_discovery_request(const http1::Message& request);
+  Server::Reply handle_discovery_request(const http1::Message& request, int connection);
   // A call arrived at an endpoint.
   Server::Reply handle_call(const std::string& endpoint, const http1::Message& request, int connection);
+  // Writes the endpoint's answer to the call of these messages, and any second copy of it.
+  void write_answer(const std::string& endpoint, int connection, const std::vector<CallIndex>& members,
+                    int status, const std::vector<http1::Field>& fields, const std::string& body);
+  // Writes second copies that were to meet the connection's next call.
+  void write_due_copies(const std::string& endpoint, int connection);
+  Server::Reply handle_notice_post(const http1::Message& request, int connection);
   void handle_notices(const std::string& body);
   void launch(int relay);
   // Polls the relay's health until it is ready, and notices when its process has exited.
@@ -160,6 +191,7 @@
   std::vector<Relay> relays_;
   std::map<std::string, Endpoint> endpoints_;
   std::unique_ptr<Server> discovery_;
+  std::map<int, int> notice_posts_;  // accepted posts by connection
   std::vector<std::string> ended_ids_, recent_ids_;
   double per_second_ = 0, unsafe_share_ = 0;
   std::uint64_t traffic_generation_ = 0;  // so that timers of earlier traffic end
--- a/tests/faults/rule_checker.hpp
+++ b/tests/faults/rule_checker.hpp
@@ -18,6 +18,7 @@
   Time received_at = 0;  // arrival of its last byte
   std::string endpoint;
   bool ran = false;  // the endpoint executed it, or may have
+  int answered = 0;  // the status that the endpoint wrote for it; 0: none
 };
 
 // The answer that a client received for a request, or for a copy sent under the same id.
--- a/tests/http1_server.hpp
+++ b/tests/http1_server.hpp
@@ -42,7 +42,26 @@
   }
   // Accepts again: each client's next SYN, one second after its first, succeeds.
   void resume_accepting() { listener_->pause(false); }
-  void write(int connection, const std::string& bytes) { connections_.at(connection)->stream->write(bytes); }
+  // Writes an answer. The answer to a request that asks to close the connection says so, and the connection
+  // ends behind it (RFC 9112 section 9.6).
+  void write(int connection, const std::string& bytes) {
+    const auto& link = connections_.at(connection);
+    if (!link->asked_to_close || !confirms_close) return link->stream->write(bytes);
+    http1::Parser reader{http1::Parser::Side::responses};
+    reader.consume(bytes);
+    const bool answer =
+        reader.state() == http1::Parser::State::body || reader.state() == http1::Parser::State::complete;
+    if (!answer) return link->stream->write(bytes);
+    std::string closing = bytes;
+    if (!reader.message().close) closing.insert(closing.find("\r\n") + 2, "Connection: close\r\n");
+    link->stream->write(closing);
+    if (reader.state() == http1::Parser::State::complete) link->stream->finish(kLinger);
+  }
+  // Writes bytes that belong to no request, such as a second copy of an earlier answer.
+  void write_unasked(int connection, const std::string& bytes) {
+    if (is_open(connection)) connections_.at(connection)->stream->write(bytes);
+  }
+  bool confirms_close = true;  // whether requests to close the connection are honoured
   // Whether to stop reading: connections are accepted, and unread bytes stay in small receive buffers.
   void pause_reading(bool paused) {
     reading_paused_ = paused;
@@ -66,7 +85,8 @@
   struct Connection {
     std::unique_ptr<net::TcpStream> stream;
     http1::Parser reader{http1::Parser::Side::requests};
-    int requests = 0;  // begun, counted only where the test may reset requests
+    int requests = 0;             // begun, counted only where the test may reset requests
+    bool asked_to_close = false;  // the last request asked to close the connection
   };
   void listen(const std::string& at, int backlog = 512) {
     listener_ = std::make_unique<net::Listener>(
@@ -104,9 +124,10 @@
       if (l->reader.state() != http1::Parser::State::complete) return;
       const http1::Message request = l->reader.message();
       l->reader.next();
+      l->asked_to_close = request.close;
       const Reply reply = handler_(request, n);
       if (connections_.count(n) == 0) return;
-      if (!reply.bytes.empty()) l->stream->write(reply.bytes);
+      if (!reply.bytes.empty()) write(n, reply.bytes);
       if (reply.disposition != Reply::Disposition::keep)
         l->stream->close(reply.disposition == Reply::Disposition::abort), remove(n);
     }
@@ -118,6 +139,7 @@
     connections_.erase(it);
   }
   loop::Loop& loop_;
+  static constexpr loop::Time kLinger = 1'000'000;  // for the client to close its side, us
   static constexpr int kSmallReceiveBuffer = 4096;  // receive buffer while not reading, bytes
   bool reading_paused_ = false;
   Handler handler_;
--- /dev/null
+++ b/tests/platform_answers_test.cpp
@@ -0,0 +1,99 @@
+// Tests that the relay takes no answer for the answer to another request.
+//
+// The failure: endpoints, or something before them, wrote a second copy of an answer on a kept connection.
+// The relay gave the first answer that came to the call that was out. From one copy on, each answer of that
+// connection went to the call after its own: messages that had run were sent again, since the relay had read
+// an earlier 503, and messages that had been refused were taken for delivered, since it had read an earlier
+// 200.
+#include <gtest/gtest.h>
+#include <rapidjson/document.h>
+
+#include "faults/fleet.hpp"
+
+namespace cedarplank::testing::faults {
+namespace {
+
+constexpr Time kMs = 1'000;
+
+FleetSettings settings() {
+  FleetSettings s;
+  s.program = PROGRAM, s.fault_library = FAULT_LIBRARY;
+  s.endpoints_per_destination = 1;
+  return s;
+}
+
+class PlatformAnswers : public ::testing::Test {
+ public:
+  explicit PlatformAnswers(FleetSettings s = settings()) : fleet(std::move(s)) {}
+  // One call in sixteen is refused; the others take 20 to 60 ms.
+  void refuse_some_calls() {
+    fleet.reply = [this](const auto&, const auto&) {
+      const auto kind = fleet.random() % 16 == 0 ? Reply::Kind::refuse : Reply::Kind::ok;
+      return Reply{kind, (20 + static_cast<Time>(fleet.random() % 40)) * kMs};
+    };
+  }
+  // A second copy of each answer with this status meets the connection's next call.
+  void copy_answers(int status) {
+    fleet.second_copy = [this, status](const auto&, int answered) -> std::optional<SecondCopy> {
+      if (answered != status) return std::nullopt;
+      return SecondCopy{SecondCopy::After::next_call, static_cast<Time>(fleet.random() % (8 * kMs))};
+    };
+  }
+  void send_traffic() {
+    fleet.traffic(60);
+    fleet.run(5'000 * kMs);
+    fleet.settle();
+  }
+  void expect_rules_kept() {
+    const auto verdict = fleet.checker.check(loop::monotonic_now());
+    for (const auto& broken : verdict.violations) ADD_FAILURE() << broken;
+    EXPECT_GT(verdict.share(), 0.8);
+  }
+  // The texts of the relay's log lines with this event, parsed as an operator's tools parse them.
+  std::vector<std::string> log_texts(const std::string& event) {
+    std::vector<std::string> found;
+    for (const auto& line : fleet.log(0)) {
+      rapidjson::Document d;
+      d.Parse(line.c_str());
+      if (d.IsObject() && d.HasMember("event") && d.HasMember("text") && event == d["event"].GetString())
+        found.push_back(d["text"].GetString());
+    }
+    return found;
+  }
+  // The text of the first such line that contains `part`; empty: there is none.
+  std::string log_text(const std::string& event, const std::string& part) {
+    for (const auto& text : log_texts(event))
+      if (text.find(part) != std::string::npos) return text;
+    return {};
+  }
+  void wait_for_final_answer(const std::string& id) {
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.final_answer_of(id) != ""; }, 3'000 * kMs)) << id;
+    fleet.run(20 * kMs);
+  }
+  Fleet fleet;
+};
+
+// Guards against logs that can't tell which connection a call went out on, and that a connection carried
+// bytes that nobody asked for.
+TEST_F(PlatformAnswers, TheLogTellsTheConnectionOfEachCallAndBytesNobodyAskedFor) {
+  ASSERT_TRUE(fleet.start(0));
+  const auto first = fleet.submit(0, true);
+  wait_for_final_answer(first);
+  EXPECT_NE(
+      log_text("delivered", "id=" + first + " ").find("outcome=served why=\"200\" connection=1 call=1 "),
+      std::string::npos);
+  fleet.second_copy = [](const auto&, int) { return SecondCopy{SecondCopy::After::answer, 100 * kMs}; };
+  const auto second = fleet.submit(0, true, 1);
+  wait_for_final_answer(second);
+  ASSERT_TRUE(fleet.run_until([&] { return !log_texts("unasked").empty(); }, 1'000 * kMs));
+  const auto unasked = log_texts("unasked").front();
+  EXPECT_EQ(unasked.find("id=" + second + " endpoint=s-1-0 connection=2 calls=1 bytes="), 0u) << unasked;
+  EXPECT_NE(unasked.find(" idle_ms="), std::string::npos) << unasked;
+  ASSERT_TRUE(fleet.run_until([&] { return !log_texts("counts").empty(); }, 6'000 * kMs));
+  const auto counts = log_texts("counts").front();
+  EXPECT_NE(counts.find("\"unasked\":1,"), std::string::npos) << counts;
+  EXPECT_EQ(counts.find("\"unasked_bytes\":0,"), std::string::npos) << counts;
+}
+
+}  // namespace
+}  // namespace cedarplank::testing::faults
