Tests: answers taken for those of other requests, reproduced with real processes (red)

Need: a reproduction of the reported faults on real processes: second copies of answers on kept connections, to endpoints and to discovery. Change: three tests: endpoints write each 503, or each 200, once more when the connection's next call arrives (0 to 8 ms after its last byte); discovery writes a second 204 when the next post of notices comes and fails that post.

--- a/tests/platform_answers_test.cpp
+++ b/tests/platform_answers_test.cpp
@@ -95,5 +95,40 @@
   EXPECT_EQ(counts.find("\"unasked_bytes\":0,"), std::string::npos) << counts;
 }
 
+// Guards against a message that may have run and is sent again, because a copy of an earlier 503 was taken
+// for the answer to its call.
+TEST_F(PlatformAnswers, ACopyOfARefusalRunsNoMessageTwice) {
+  ASSERT_TRUE(fleet.start(0));
+  refuse_some_calls();
+  copy_answers(503);
+  send_traffic();
+  expect_rules_kept();
+}
+
+// Guards against a message that is neither delivered nor ended, because a copy of an earlier 200 was taken
+// for the answer to its call.
+TEST_F(PlatformAnswers, ACopyOfADeliveryLosesNoMessage) {
+  ASSERT_TRUE(fleet.start(0));
+  refuse_some_calls();
+  copy_answers(200);
+  send_traffic();
+  expect_rules_kept();
+}
+
+// Guards against notices that discovery has not accepted, because a copy of an earlier 204 was taken for the
+// answer to their post.
+TEST_F(PlatformAnswers, ACopyOfTheAcceptanceOfNoticesLosesNoNotice) {
+  ASSERT_TRUE(fleet.start(0));
+  fleet.reply = [](const auto&, const auto&) { return Reply{Reply::Kind::error, 5 * kMs}; };
+  fleet.repeat_notice_answers = true;
+  fleet.traffic(60, 1.0);
+  fleet.run(3'000 * kMs);
+  fleet.traffic(0);
+  fleet.run(4'000 * kMs);
+  const auto verdict = fleet.checker.check(loop::monotonic_now());
+  for (const auto& broken : verdict.violations) ADD_FAILURE() << broken;
+  EXPECT_GT(verdict.ended, 50u);
+}
+
 }  // namespace
 }  // namespace cedarplank::testing::faults
