Endpoints: an answer counts only where something proves that it is the call's own

Cause: callers saw messages that must not run twice run twice, and taken-on messages neither delivered nor ended. EndpointTransport::handle_data() gave the first whole answer to the call that was out. On a kept connection a second copy of an earlier answer is as good as the call's own, and from one copy on each answer goes to the call after its own (the reports show both). HTTP/1.1 has nothing that ties the two together; looking for bytes before the call and holding back its last byte only make it rarer. Ending our sending and counting answers until the endpoint's end proves nothing either: that is also how a call is given up, so the last answer may be left out. A call's answer is its own if it is the first on the connection; if the call asked to close the connection and the answer says so (no earlier answer did, or the connection would have ended); or if a bulk answer names just the call's messages. So a connection carries a first call and a last one, and between them only calls whose messages may repeat, in bulk form, to endpoints that take it. Other answers are counted, logged and skipped; a refusal that only ids could prove ends the connection and proves nothing about messages that must not repeat, as those are never called so. An endpoint that confirms no close gets a connection for each call until it does. An answer ahead of the last byte of a call on a used connection moves the call on, unless it tells a wait: a copy of a 410 ended another message.

--- a/src/platform/endpoint_transport.cpp
+++ b/src/platform/endpoint_transport.cpp
@@ -40,11 +40,16 @@
   addresses_.clear();
   if (!catalogue.whole) addresses_ = before;
   for (const auto& l : catalogue.endpoints) {
-    if (l.endpoint.listing == Listing::gone)
+    if (l.endpoint.listing == Listing::gone) {
       addresses_.erase(l.endpoint.id);
-    else
-      addresses_[l.endpoint.id] = l.address;
+      continue;
+    }
+    addresses_[l.endpoint.id] = l.address;
+    kinds_[l.endpoint.id] = l.endpoint.kind;
   }
+  const auto unlisted = [this](const EndpointId& id) { return addresses_.count(id) == 0; };
+  std::erase_if(kinds_, [&](const auto& entry) { return unlisted(entry.first); });
+  std::erase_if(unconfirming_, unlisted);
   for (const auto& [id, address] : before) {
     const auto it = addresses_.find(id);
     if (it == addresses_.end() || it->second != address) close_idle(id);
@@ -111,13 +116,22 @@
 // been sent whole, it would be unknown whether it ran, and a message that must not run twice would be lost.
 void EndpointTransport::write_call(const ConnectionPtr& conn) {
   std::vector<CallMessage> called;
-  for (const auto& m : conn->members)
+  conn->called_ids.clear();
+  for (const auto& m : conn->members) {
     called.push_back({m.message->owner, m.message->idempotency_key, m.message->body});
+    conn->called_ids.push_back(m.message->owner);
+  }
   const Time wait =
       called.size() == 1 ? conn->members.front().timeout : wait_key(conn->members.front()).first;
   const Time budget = std::max<Time>(1'000, wait - (loop_.now() - conn->ordered_at));
-  const std::string request = called.size() == 1 ? single_call(called.front(), budget, conn->address)
-                                                 : bulk_call(called, budget, conn->address);
+  const bool first = conn->call_count == 1;
+  conn->proof = choose_proof(first, may_repeat(conn->members), takes_bulk(conn->endpoint));
+  conn->bulk = called.size() > 1 || conn->proof == AnswerProof::message_ids;
+  conn->asks_to_close =
+      conn->proof == AnswerProof::close_confirmed || unconfirming_.count(conn->endpoint) > 0;
+  const auto option = conn->asks_to_close ? ConnectionOption::close : ConnectionOption::keep;
+  const std::string request = conn->bulk ? bulk_call(called, budget, conn->address, option)
+                                         : single_call(called.front(), budget, conn->address, option);
   conn->message_count = called.size(), conn->writing_started = true;
   conn->end_offset = conn->stream->bytes_written() + request.size(), conn->last_byte = request.back();
   conn->stream->write(std::string_view(request).substr(0, request.size() - 1));
@@ -225,46 +239,119 @@
   return !conn.writing_started || conn.stream->bytes_flushed() < conn.end_offset;
 }
 
+bool EndpointTransport::may_repeat(const std::vector<relay::OutgoingCall>& members) const {
+  return std::all_of(members.begin(), members.end(), [this](const auto& member) {
+    const auto cls = static_cast<std::size_t>(member.message->message_class);
+    return cls < bounds_.repeatable_classes.size() && bounds_.repeatable_classes[cls];
+  });
+}
+
+bool EndpointTransport::takes_bulk(const EndpointId& endpoint) const {
+  const auto it = kinds_.find(endpoint);
+  if (it == kinds_.end() || it->second < 0) return false;
+  const auto kind = static_cast<std::size_t>(it->second);
+  return kind < bounds_.bundle_max.size() && bounds_.bundle_max[kind] > 1;
+}
+
 void EndpointTransport::handle_data(const ConnectionPtr& conn, std::string_view bytes) {
-  // Bytes without a call: noise, or a second copy of the last answer. A later answer could not be told apart
-  // from them.
   if (conn->message_count == 0) {
     report_unasked(*conn, bytes.size());
     return close_connection(conn);
   }
-  auto& reader = conn->reader;
-  const auto taken = reader.consume(bytes);
+  while (true) {
+    const auto taken = conn->reader.consume(bytes);
+    bytes.remove_prefix(taken);
+    conn->answer_bytes += taken;
+    if (cannot_have_run(*conn)) return handle_early_answer(conn);
+    if (!handle_answer(conn, bytes.size()) || bytes.empty()) return;
+  }
+}
+
+bool EndpointTransport::handle_answer(const ConnectionPtr& conn, std::size_t bytes_left) {
   using State = http1::Parser::State;
-  if (cannot_have_run(*conn)) return handle_early_answer(conn);
-  const bool single = conn->message_count == 1;
-  const bool head = reader.state() == State::body || reader.state() == State::complete;
-  if (reader.state() == State::broken) {
+  const auto state = conn->reader.state();
+  if (state == State::broken) {
     counts_.spoilt++;
-    log("malformed answer from " + conn->endpoint + ": " + reader.problem());
-    return handle_malformed_answer(conn);
+    log("malformed answer from " + conn->endpoint + ": " + conn->reader.problem());
+    handle_malformed_answer(conn);
+    return false;
+  }
+  if (state != State::complete) {
+    if (!conn->bulk && !conn->outcome_reported) handle_answer_head(conn);
+    if (conn->outcome_reported && conn->timer == 0)
+      conn->timer = loop_.after(kRestTimeout, [this, conn] { conn->timer = 0, close_connection(conn); });
+    return false;
+  }
+  const auto match = match_answer(*conn);
+  if (match == AnswerMatch::foreign) {
+    skip_foreign_answer(conn);
+    return true;
   }
-  if (single && !conn->outcome_reported) {
-    // One message: the status line decides once the head is complete; a 200 counts whatever follows it.
-    if (head && (reader.response_status() == 200 || reader.state() == State::complete)) {
-      conn->outcome_reported = true;
-      report_outcomes(conn, {ending_of(reader.message())});
-    } else if (reader.response_status() == 200 && conn->timer == 0) {
+  handle_whole_answer(conn, match, bytes_left);
+  return false;
+}
+
+void EndpointTransport::handle_answer_head(const ConnectionPtr& conn) {
+  if (conn->reader.response_status() != 200) return;
+  if (conn->reader.state() != http1::Parser::State::body) {
+    if (conn->timer == 0)
       conn->timer =
           loop_.after(kHeadTimeout, [this, conn] { conn->timer = 0, handle_malformed_answer(conn); });
-    }
+    return;
   }
-  if (reader.state() == State::complete) {
-    if (!conn->outcome_reported)
-      report_outcomes(conn, endings_of(reader.message(), true, [&] {
-                        std::vector<std::string> ids;
-                        for (const auto& m : conn->members) ids.push_back(m.message->owner);
-                        return ids;
-                      }()));
-    if (taken < bytes.size()) report_unasked(*conn, bytes.size() - taken);
-    return finish_call(conn, taken == bytes.size() && !reader.message().close);
+  if (match_answer(*conn) == AnswerMatch::own) report_outcomes(conn, {ending_of(conn->reader.message())});
+}
+
+void EndpointTransport::handle_whole_answer(const ConnectionPtr& conn, AnswerMatch match,
+                                            std::size_t bytes_left) {
+  const bool own = match == AnswerMatch::own;
+  if (!own) counts_.unproved++;
+  if (own && conn->asks_to_close) note_close_confirmation(conn, conn->reader.message().close);
+  if (bytes_left > 0) report_unasked(*conn, bytes_left);
+  const bool reusable = own && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
+                        !conn->reader.message().close;
+  if (!conn->outcome_reported) report_outcomes(conn, outcomes_of_answer(*conn));
+  finish_call(conn, reusable);
+}
+
+// The call's own answer is still to come.
+void EndpointTransport::skip_foreign_answer(const ConnectionPtr& conn) {
+  loop_.cancel(conn->timer), conn->timer = 0;
+  conn->foreign_answers = true;
+  report_unasked(*conn, conn->answer_bytes);
+  conn->reader.next();
+  conn->answer_bytes = 0;
+}
+
+AnswerMatch EndpointTransport::match_answer(const Connection& conn) const {
+  return platform::match_answer(conn.proof, conn.reader.message(), conn.called_ids);
+}
+
+std::vector<relay::CallResult> EndpointTransport::outcomes_of_answer(const Connection& conn) const {
+  const auto& answer = conn.reader.message();
+  if (!conn.bulk) return std::vector(conn.members.size(), ending_of(answer));
+  std::vector<std::string> ids;
+  for (const auto& member : conn.members) ids.push_back(member.message->owner);
+  const bool proved = match_answer(conn) == AnswerMatch::own;
+  return endings_of(answer, proved || ending_of(answer).outcome != Outcome::served, ids);
+}
+
+bool EndpointTransport::status_proves_served(const Connection& conn) const {
+  if (conn.bulk || conn.reader.response_status() != 200) return false;
+  return conn.proof == AnswerProof::first_on_connection ||
+         (conn.proof == AnswerProof::close_confirmed && conn.reader.message().close);
+}
+
+void EndpointTransport::note_close_confirmation(const ConnectionPtr& conn, bool confirmed) {
+  if (confirmed) {
+    unconfirming_.erase(conn->endpoint);
+    return;
   }
-  if (conn->outcome_reported && conn->timer == 0)
-    conn->timer = loop_.after(kRestTimeout, [this, conn] { conn->timer = 0, close_connection(conn); });
+  counts_.unconfirmed++;
+  if (!unconfirming_.insert(conn->endpoint).second) return;
+  log("no confirmation that a connection closes from " + conn->endpoint +
+      ": each call gets a connection of its own");
+  close_idle(conn->endpoint);
 }
 
 // The endpoint answered before the call's last byte, which is not written any more: it rejected the call
@@ -279,11 +366,20 @@
   } else if (state != http1::Parser::State::broken) {
     conn->timer = loop_.after(kHeadTimeout, [this, conn, ending] {
       conn->timer = 0;
-      report_same_outcome(conn, ending);
-      close_connection(conn);
+      finish_early_answer(conn, ending);
     });
     return;
   }
+  finish_early_answer(conn, ending);
+}
+
+// On a connection that has carried a call before, the answer may be a copy of that call's: it ends nothing
+// but the connection. A told wait is heeded, whosever it is.
+void EndpointTransport::finish_early_answer(const ConnectionPtr& conn, const relay::CallResult& ending) {
+  if (conn->call_count > 1 && ending.told_wait == 0) {
+    report_unasked(*conn, conn->answer_bytes);
+    return move_to_other_connection(conn);
+  }
   report_same_outcome(conn, ending);
   close_connection(conn);
 }
@@ -293,8 +389,7 @@
   if (!conn->outcome_reported) {
     relay::CallResult ending{
         Outcome::error, 0, {}, std::string("spoilt answer: ") + conn->reader.problem(), {}};
-    if (conn->message_count == 1 && conn->reader.response_status() == 200)
-      ending = {Outcome::served, 0, {}, "200", {}};
+    if (status_proves_served(*conn)) ending = {Outcome::served, 0, {}, "200", {}};
     report_same_outcome(conn, ending);
   }
   close_connection(conn);
@@ -305,19 +400,16 @@
   if (conn->message_count > 0 && !conn->outcome_reported)
     log("closed " + conn->endpoint + ": " + why + (cannot_have_run(*conn) ? ", nothing has run" : ""));
   conn->reader.end_of_input();
-  const auto state = conn->reader.state();
   if (conn->message_count > 0 && !conn->outcome_reported) {
+    const bool whole = conn->reader.state() == http1::Parser::State::complete;
     if (cannot_have_run(*conn)) {
       // The last byte was never sent: the call has not run.
-      if (conn->reused) return move_to_other_connection(conn);
+      if (conn->call_count > 1) return move_to_other_connection(conn);
       report_same_outcome(conn, {Outcome::connect_failed, 0, {}, why, {}});
-    } else if (conn->message_count == 1 && conn->reader.response_status() == 200) {
+    } else if (status_proves_served(*conn)) {
       report_same_outcome(conn, {Outcome::served, 0, {}, "200", {}});
-    } else if (state == http1::Parser::State::complete) {
-      std::vector<std::string> ids;
-      for (const auto& m : conn->members) ids.push_back(m.message->owner);
-      report_outcomes(conn, conn->message_count == 1 ? std::vector{ending_of(conn->reader.message())}
-                                                     : endings_of(conn->reader.message(), true, ids));
+    } else if (whole && match_answer(*conn) != AnswerMatch::foreign) {
+      report_outcomes(conn, outcomes_of_answer(*conn));
     } else {
       report_same_outcome(conn, {Outcome::reset, 0, {}, why, {}});
     }
@@ -346,7 +438,7 @@
   if (!reusable || cannot_have_run(*conn) || addresses_.count(conn->endpoint) == 0)
     return close_connection(conn);
   conn->reader.next();
-  conn->reused = true;
+  conn->answer_bytes = 0;
   conn->message_count = 0, conn->outcome_reported = false, conn->members.clear();
   conn->idle_since = loop_.now();
   idle_[conn->endpoint].push_back(conn);
@@ -372,6 +464,8 @@
 
 void EndpointTransport::close_connection(const ConnectionPtr& conn, CloseMode how) {
   loop_.cancel(conn->timer), conn->timer = 0;
+  const bool ended_unproved = conn->asks_to_close && conn->foreign_answers && !conn->outcome_reported;
+  if (conn->message_count > 0 && ended_unproved) note_close_confirmation(conn, false);
   // Keeps the object alive: one of its own callbacks may be running now.
   loop_.defer([conn] {});
   conn->stream->close(how == CloseMode::reset);
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -42,6 +42,20 @@
   return limits.sockets > taken + 8 ? limits.sockets - taken : 8;
 }
 
+// By class: whether its messages may run more than once.
+std::vector<bool> repeatable_classes(const Settings& settings) {
+  std::vector<bool> repeatable;
+  for (const auto& cls : settings.classes) repeatable.push_back(cls.effect == Effect::safe && !cls.ordered);
+  return repeatable;
+}
+
+// By kind of endpoint: the most messages that a call may have.
+std::vector<int> most_messages_per_call(const Settings& settings) {
+  std::vector<int> most;
+  for (const auto& kind : settings.kinds) most.push_back(kind.bundle_max);
+  return most;
+}
+
 std::vector<std::string> names_by_index(const settings::NameIndex& names) {
   std::vector<std::string> out(names.size());
   for (const auto& [name, place] : names) out[static_cast<std::size_t>(place)] = name;
@@ -59,7 +73,8 @@
   endpoints_ = std::make_unique<EndpointTransport>(
       loop_,
       EndpointTransport::Bounds{max_endpoint_connections(config_.limits, set.slots), set.connect_timeout,
-                                set.connection_idle, set.second_copies},
+                                set.connection_idle, set.second_copies, repeatable_classes(set),
+                                most_messages_per_call(set)},
       EndpointTransport::Host{.ended =
                                   [this](relay::CallId call, relay::CallResult ending) {
                                     core_->call_ended(loop_.refresh_now(), call, std::move(ending));
--- a/src/platform/relay_counts.cpp
+++ b/src/platform/relay_counts.cpp
@@ -18,11 +18,12 @@
       pair("held", core_->held()) + pair("calls", e.calls) + pair("calls_out", endpoints_->calls_out()) +
       pair("reused", e.reused) + pair("opened", e.opened) + pair("stale", e.stale) + pair("moved", e.moved) +
       pair("spoilt", e.spoilt) + pair("unasked", e.unasked) + pair("unasked_bytes", e.unasked_bytes) +
-      pair("no_descriptor", e.full) + pair("links", endpoints_->connections()) +
-      pair("clients", clients_->connections()) + pair("accepted", k.accepted) + pair("requests", k.requests) +
-      pair("unread", k.unread) + pair("evicted", k.evicted) + pair("ended_once", k.ended_once) +
-      pair("timed_out", k.timed_out) + pair("notices", notices_->size()) +
-      pair("journal_bytes", journal_->bytes()) + pair("journal_stalls", journal_->counts().stalls) +
+      pair("unproved", e.unproved) + pair("unconfirmed", e.unconfirmed) + pair("no_descriptor", e.full) +
+      pair("links", endpoints_->connections()) + pair("clients", clients_->connections()) +
+      pair("accepted", k.accepted) + pair("requests", k.requests) + pair("unread", k.unread) +
+      pair("evicted", k.evicted) + pair("ended_once", k.ended_once) + pair("timed_out", k.timed_out) +
+      pair("notices", notices_->size()) + pair("journal_bytes", journal_->bytes()) +
+      pair("journal_stalls", journal_->counts().stalls) +
       pair("journal_stalled_ms", static_cast<std::uint64_t>(journal_->counts().stalled) / 1000) +
       pair("rounds", core_->rounds());
   // Attempts by the outcome reported to the dispatcher: their number and mean duration.
--- a/src/platform/semantics.cpp
+++ b/src/platform/semantics.cpp
@@ -62,6 +62,29 @@
   return report;
 }
 
+// A line of a bulk answer: a message's id and its result, separated by a space.
+struct ResultLine {
+  std::string_view id, result;
+};
+std::vector<ResultLine> result_lines(std::string_view body) {
+  std::vector<ResultLine> lines;
+  while (!body.empty()) {
+    const auto end = body.find('\n');
+    auto line = body.substr(0, end);
+    body = end == std::string_view::npos ? std::string_view() : body.substr(end + 1);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const auto space = line.find(' ');
+    if (space != std::string_view::npos) lines.push_back({line.substr(0, space), line.substr(space + 1)});
+  }
+  return lines;
+}
+
+std::vector<http1::Field> call_fields(Time budget, ConnectionOption connection) {
+  std::vector<http1::Field> fields = {{"X-Budget", http1::format_seconds(budget)}};
+  if (connection == ConnectionOption::close) fields.push_back({"Connection", "close"});
+  return fields;
+}
+
 std::string json_line(const std::string& id, const char* state, Time come_back) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
@@ -130,20 +153,28 @@
   return std::nullopt;
 }
 
-std::string single_call(const CallMessage& m, Time budget, const std::string& host) {
-  std::vector<http1::Field> fields = {{"X-Call-Id", m.id}, {"X-Budget", http1::format_seconds(budget)}};
+std::string single_call(const CallMessage& m, Time budget, const std::string& host,
+                        ConnectionOption connection) {
+  std::vector<http1::Field> fields = call_fields(budget, connection);
+  fields.insert(fields.begin(), {"X-Call-Id", m.id});
   if (!m.key.empty()) fields.push_back({"Idempotency-Key", m.key});
   return http1::build_request("POST", "/inbox", host, fields, m.body);
 }
 
-std::string bulk_call(const std::vector<CallMessage>& messages, Time budget, const std::string& host) {
+std::string bulk_call(const std::vector<CallMessage>& messages, Time budget, const std::string& host,
+                      ConnectionOption connection) {
   std::string body;
   for (const auto& m : messages) {
     body += m.id + " " + (m.key.empty() ? "-" : m.key) + " " + std::to_string(m.body.size()) + "\r\n";
     body.append(m.body).append("\r\n");
   }
-  return http1::build_request("POST", "/inbox/bulk", host, {{"X-Budget", http1::format_seconds(budget)}},
-                              body);
+  return http1::build_request("POST", "/inbox/bulk", host, call_fields(budget, connection), body);
+}
+
+std::vector<std::string> ids_in_answer(const http1::Message& answer) {
+  std::vector<std::string> ids;
+  for (const auto& line : result_lines(answer.body)) ids.emplace_back(line.id);
+  return ids;
 }
 
 relay::CallResult ending_of(const http1::Message& answer) {
@@ -185,17 +216,10 @@
   if (!whole) all = {Outcome::error, 0, {}, "an answer that can't be read", {}};
   if (all.outcome != Outcome::served) return std::vector(ids.size(), all);
   std::map<std::string_view, std::string_view> ends;
-  std::string_view rest = answer.body;
-  while (!rest.empty()) {
-    const auto end = rest.find('\n');
-    auto line = rest.substr(0, end);
-    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    const auto space = line.find(' ');
-    if (space == std::string_view::npos) continue;
+  for (const auto& line : result_lines(answer.body)) {
     // Listed twice with different results: the result is unknown.
-    const auto [it, fresh] = ends.emplace(line.substr(0, space), line.substr(space + 1));
-    if (!fresh && it->second != line.substr(space + 1)) it->second = {};
+    const auto [it, fresh] = ends.emplace(line.id, line.result);
+    if (!fresh && it->second != line.result) it->second = {};
   }
   const Time wait = told_wait(answer);
   std::vector<relay::CallResult> out;
--- a/src/platform/semantics.hpp
+++ b/src/platform/semantics.hpp
@@ -39,11 +39,16 @@
 };
 // The bytes of a call to an endpoint, with one message or with several. `budget`: the time left for its
 // answer.
-std::string single_call(const CallMessage& message, Time budget, const std::string& host);
-std::string bulk_call(const std::vector<CallMessage>& messages, Time budget, const std::string& host);
+enum class ConnectionOption { keep, close };
+std::string single_call(const CallMessage& message, Time budget, const std::string& host,
+                        ConnectionOption connection = ConnectionOption::keep);
+std::string bulk_call(const std::vector<CallMessage>& messages, Time budget, const std::string& host,
+                      ConnectionOption connection = ConnectionOption::keep);
 
 // The outcome of a call with one message, from an answer whose head is complete.
 relay::CallResult ending_of(const http1::Message& answer);
+// The client ids that the lines of a bulk answer name.
+std::vector<std::string> ids_in_answer(const http1::Message& answer);
 // The outcomes of the messages of a call, in the order of `ids`. `whole`: the answer is complete and
 // well-formed.
 std::vector<relay::CallResult> endings_of(const http1::Message& answer, bool whole,
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -71,6 +71,7 @@
   // Called for each answer that an endpoint writes: the second copy that follows it, if any.
   std::function<std::optional<SecondCopy>(const std::string& endpoint, int status)> second_copy =
       [](const auto&, int) { return std::nullopt; };
+  int second_copies_written = 0;  // copies of endpoints' answers
   bool discovery_up = true;
   // The next post of notices on a connection that has carried one fails, and a second copy of the answer to
   // the earlier one comes at that moment.
@@ -166,6 +167,7 @@
   // Writes the endpoint's answer to the call of these messages, and any second copy of it.
   void write_answer(const std::string& endpoint, int connection, const std::vector<CallIndex>& members,
                     int status, const std::vector<http1::Field>& fields, const std::string& body);
+  void write_copy(const std::string& endpoint, int connection, const DueCopy& copy);
   // Writes second copies that were to meet the connection's next call.
   void write_due_copies(const std::string& endpoint, int connection);
   Server::Reply handle_notice_post(const http1::Message& request, int connection);
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -192,6 +192,58 @@
   EXPECT_EQ(transport->connections(), 0u);
 }
 
+// Guards against a message that is ended because a copy of the 410 to an earlier call came while its own call
+// was being written.
+TEST_F(EndpointsCrossings, ACopyAheadOfTheLastByteEndsNoOtherMessage) {
+  add_endpoint("s-1", 7);
+  const std::string gone = http1::build_response(410, {}, {}, false);
+  endpoint_replies["s-1"] = [&](const Call& call) {
+    return Server::Reply{call.id == "first" ? gone : ok_answer(call)};
+  };
+  Server& server = *endpoints.at("s-1").server;
+  server.reset_at_request = [&](int connection, int requests) {
+    if (requests == 1) server.write_unasked(connection, gone);
+    return false;
+  };
+  open();
+  keep_one_connection();
+  EXPECT_EQ(ends[1000].retry_status, relay::RetryStatus::message_ended);
+  order(2, "second", 1'000'000);
+  transport->flush();
+  ASSERT_TRUE(run_until([&] { return ends.count(2) > 0; }));
+  EXPECT_EQ(ends[2].outcome, Outcome::served);
+  EXPECT_EQ(transport->counts().moved, 1u);
+}
+
+// Guards against a call whose own answer can't be recognized, at an endpoint that ignores requests to close
+// the connection: after the first such call each one gets a connection of its own.
+TEST_F(EndpointsCrossings, AnEndpointThatConfirmsNoCloseGetsAConnectionForEachCall) {
+  add_endpoint("s-1", 7);
+  endpoints.at("s-1").server->confirms_close = false;
+  open();
+  keep_one_connection();
+  order(2, "second", 1'000'000);
+  transport->flush();
+  ASSERT_TRUE(run_until([&] { return transport->counts().unasked > 0; }));
+  EXPECT_EQ(ends.count(2), 0u) << "an answer that may be a copy of the first one";
+  EXPECT_EQ(transport->cancel(2), relay::Transport::CancelResult::sent);
+  for (relay::CallId id : {3, 4}) {
+    order(id, "m-" + std::to_string(id), 1'000'000);
+    transport->flush();
+    ASSERT_TRUE(run_until([&] { return ends.count(id) > 0; }));
+    EXPECT_EQ(ends[id].outcome, Outcome::served);
+  }
+  EXPECT_EQ(endpoints.at("s-1").server->accepted_count, 3);
+  endpoints.at("s-1").server->confirms_close = true;  // the fifth call shows that
+  for (relay::CallId id : {5, 6, 7}) {
+    order(id, "m-" + std::to_string(id), 1'000'000);
+    transport->flush();
+    ASSERT_TRUE(run_until([&] { return ends.count(id) > 0; }));
+    EXPECT_EQ(ends[id].outcome, Outcome::served);
+  }
+  EXPECT_EQ(calls[5].connection, calls[6].connection);
+}
+
 // ---- The list of endpoints. ----
 
 // An endpoint drains while the connection for a call to it is still being set up: the call goes to another
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -131,6 +131,28 @@
   EXPECT_NE(calls[0].connection, calls[1].connection);
 }
 
+// Guards against an answer that is given to another call because nothing ties it to its own.
+TEST(AnswerMatching, AnAnswerIsTheCallsOwnOnlyByItsProof) {
+  using enum AnswerProof;
+  EXPECT_EQ(choose_proof(true, false, false), first_on_connection);
+  EXPECT_EQ(choose_proof(false, true, true), message_ids);
+  EXPECT_EQ(choose_proof(false, false, true), close_confirmed) << "a refusal names no message";
+  EXPECT_EQ(choose_proof(false, true, false), close_confirmed);
+  http1::Message answer;
+  answer.status = 503;
+  EXPECT_EQ(match_answer(first_on_connection, answer, {"a"}), AnswerMatch::own);
+  EXPECT_EQ(match_answer(close_confirmed, answer, {"a"}), AnswerMatch::foreign);
+  EXPECT_EQ(match_answer(message_ids, answer, {"a"}), AnswerMatch::unproved);
+  answer.close = true;
+  EXPECT_EQ(match_answer(close_confirmed, answer, {"a"}), AnswerMatch::own);
+  answer.status = 200, answer.body = "b ok\r\na later\r\n";
+  EXPECT_EQ(match_answer(message_ids, answer, {"a", "b"}), AnswerMatch::own);
+  EXPECT_EQ(match_answer(message_ids, answer, {"c"}), AnswerMatch::foreign);
+  EXPECT_EQ(match_answer(message_ids, answer, {"a"}), AnswerMatch::unproved);
+  answer.body.clear();
+  EXPECT_EQ(match_answer(message_ids, answer, {"a"}), AnswerMatch::foreign);
+}
+
 TEST_F(Platform, AConnectionClosedWhileIdleIsNotWrittenTo) {
   serve();
   EXPECT_EQ(outcome("m-1"), "delivered");
