Discovery: each request has a connection of its own; copies of answers are no other's

Cause: callers would see taken-on messages that are neither delivered nor ended, with a notice that discovery never read; and sends to an endpoint after the grace of its drain. HttpClient kept its connection and gave the first whole answer to the request that was out, as EndpointTransport did. A copy of the 204 of one post was taken for the acceptance of the next, which had failed; a copy of an older whole list was taken for a discovery service that began anew, so a drained endpoint was ready again, and the request after it waited behind the open watch. Change: a request goes out on a connection that has carried none: its first answer is its own. Answers of discovery name no request, so nothing less would do. After an exchange the next connection is opened ahead, so a notice needs no new socket at its time.

--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -28,36 +28,34 @@
 
 void HttpClient::connect() {
   reader_ = http1::Parser(http1::Parser::Side::responses, bounds_);
-  has_answered_ = false;
   stream_ = std::make_shared<net::TcpStream>(
       loop_, net::Address::parse(address_), kConnectTimeout,
       net::Stream::Handlers{.connected = {},
-                            .data =
-                                [this](std::string_view bytes) {
-                                  if (!on_answer_)
-                                    return cancel();  // unsolicited: the connection is unusable
-                                  const auto taken = reader_.consume(bytes);
-                                  if (reader_.state() == http1::Parser::State::broken)
-                                    return finish(nullptr, reader_.problem());
-                                  if (reader_.state() != http1::Parser::State::complete) return;
-                                  const http1::Message answer = std::move(reader_.message());
-                                  const bool keep = taken == bytes.size() && !answer.close;
-                                  reader_.next();
-                                  has_answered_ = true;
-                                  auto done = std::exchange(on_answer_, nullptr);
-                                  loop_.cancel(timer_), timer_ = 0;
-                                  if (!keep) cancel();
-                                  done(&answer, {});
-                                },
+                            .data = [this](std::string_view bytes) { handle_data(bytes); },
                             .drained = {},
                             .closed = [this](const std::string& why) { handle_close(why); }});
 }
 
+void HttpClient::handle_data(std::string_view bytes) {
+  if (!on_answer_) return cancel();  // unsolicited: the connection is unusable
+  reader_.consume(bytes);
+  if (reader_.state() == http1::Parser::State::broken) return finish(nullptr, reader_.problem());
+  if (reader_.state() == http1::Parser::State::complete) complete(std::move(reader_.message()));
+}
+
+void HttpClient::complete(http1::Message answer) {
+  auto done = std::exchange(on_answer_, nullptr);
+  cancel();
+  done(&answer, {});
+  if (!stream_) connect();
+  opened_ahead_ = !busy();
+}
+
 void HttpClient::send(std::string_view method, std::string_view target, std::string_view body, Time within,
                       AnswerHandler done) {
   on_answer_ = std::move(done);
   request_ = http1::build_request(method, target, address_, {}, body);
-  if (!stream_) connect();
+  if (!stream_) connect(), opened_ahead_ = false;
   stream_->write(request_);
   timer_ = loop_.after(within, [this] {
     timer_ = 0;
@@ -69,18 +67,14 @@
   if (stream_) loop_.defer([keep = std::move(stream_)] {});
   stream_.reset();
   if (!on_answer_) return;
-  const bool stale = has_answered_ && reader_.state() == http1::Parser::State::waiting;
+  const bool stale = opened_ahead_ && reader_.state() == http1::Parser::State::waiting;
   reader_.end_of_input();
-  if (reader_.state() == http1::Parser::State::complete) {
-    const http1::Message answer = std::move(reader_.message());
-    auto done = std::exchange(on_answer_, nullptr);
-    loop_.cancel(timer_), timer_ = 0;
-    return done(&answer, {});
-  }
+  if (reader_.state() == http1::Parser::State::complete) return complete(std::move(reader_.message()));
   if (!stale) return finish(nullptr, why);
   // The connection was closed while idle, which shows only now: sends the request again on a new one. All
   // requests made here may be repeated.
   connect();
+  opened_ahead_ = false;
   stream_->write(request_);
 }
 
--- a/src/platform/http_client.hpp
+++ b/src/platform/http_client.hpp
@@ -1,4 +1,8 @@
-// An HTTP/1.1 client for the discovery service: one request at a time, over a persistent connection.
+// An HTTP/1.1 client for the discovery service: one request at a time, each on a connection of its own.
+// HTTP/1.1 has no identifier that ties an answer to its request, and answers of the discovery service name no
+// request either: on a connection that has carried a request before, an answer may be a second copy of an
+// earlier one. After an exchange the next connection is opened ahead, so that a request does not depend on
+// this machine having a socket just then.
 #pragma once
 
 #include <functional>
@@ -32,6 +36,9 @@
 
  private:
   void connect();
+  void handle_data(std::string_view bytes);
+  // Ends the exchange with this answer.
+  void complete(http1::Message answer);
   // Closes the connection and calls the callback.
   void finish(const http1::Message* answer, const std::string& why);
   // The connection was closed or failed.
@@ -42,7 +49,7 @@
   const http1::Bounds bounds_;
   std::shared_ptr<net::TcpStream> stream_;
   http1::Parser reader_{http1::Parser::Side::responses};
-  bool has_answered_ = false;  // the connection has carried an answer
+  bool opened_ahead_ = false;  // the connection was open before the request
   std::string request_;
   AnswerHandler on_answer_;
   loop::TimerId timer_ = 0;
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -342,6 +342,24 @@
   }
 }
 
+// Guards against an endpoint that is used again after its drain, because a copy of an older list was taken
+// for the answer to the next watch.
+TEST_F(Crossings, ACopyOfAnOlderListUndoesNoDrain) {
+  add_endpoint("s-1", 7), add_endpoint("s-2", 7);
+  list_index = 5;
+  start();
+  ASSERT_TRUE(run_until([&] { return !open_watches.empty(); }));
+  repeated_list = http1::build_response(200, {}, list_json(true), false);
+  change_status("s-1", "draining");
+  run_until([&] { return false; }, 1'500'000);  // longer than the grace of a drain
+  for (int i = 0; i < 8; i++) {
+    Client c(*this);
+    c.submit("m-" + std::to_string(i));
+    ASSERT_TRUE(run_until([&] { return call_count("m-" + std::to_string(i)) == 1; }));
+    EXPECT_EQ(calls.back().endpoint, "s-2");
+  }
+}
+
 TEST_F(Crossings, WhereListsArePushedAWatchIsOpenAllTheSame) {
   settings.replace(settings.find("subscribe"), 9, "automatic");
   add_endpoint("s-1", 7);
--- a/tests/platform_fixture.hpp
+++ b/tests/platform_fixture.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -179,9 +180,22 @@
   int unanswered_posts = 0;  // so many of the next posts of notices get no answer
   // Overrides discovery's answer to a request for the list where it returns one.
   std::function<std::optional<Server::Reply>(const http1::Message&)> discovery_override;
+  // If set: an answer of which discovery writes a copy when the next request for the list comes on a
+  // connection that has carried one. That request, and any other on the connection, gets no answer.
+  std::string repeated_list;
   std::unique_ptr<Relay> relay;
 
  private:
+  // Whether discovery is silent on this connection, after a copy that it has just written or earlier.
+  bool silent_after_copy(Server& server, int connection) {
+    if (silent_connections_.count(connection) > 0) return true;
+    if (used_connections_.insert(connection).second || repeated_list.empty()) return false;
+    server.write_unasked(connection, std::exchange(repeated_list, {}));
+    silent_connections_.insert(connection);
+    return true;
+  }
+  std::set<int> used_connections_, silent_connections_;  // for requests for the list
+
   std::unique_ptr<Server> make_discovery() {
     const std::size_t position = discoveries.size();
     return std::make_unique<Server>(loop, [this, position](const http1::Message& m, int n) -> Server::Reply {
@@ -192,6 +206,7 @@
         return {http1::build_response(outcome_status, {}, {}, false)};
       }
       list_requests++;
+      if (silent_after_copy(*discoveries[position], n)) return {};
       if (discovery_override)
         if (const auto reply = discovery_override(m)) return *reply;
       if (m.target == "/catalog/members") return {http1::build_response(200, {}, list_json(true), false)};
