Soak: second copies of answers; the judge compares conclusions with what endpoints did

Need: the soak's endpoints answered each call once, so it could not show answers that are taken for those of other calls; its judge saw a wrong conclusion only where it broke another rule. RuleCheckerConclusions tests the comparison.

--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -57,6 +57,7 @@
       endpoint.destination = kFirstGroup + d;
       endpoint.server = std::make_unique<Server>(
           loop, [this, id](const http1::Message& m, int n) { return handle_call(id, m, n); });
+      endpoint.server->confirms_close = settings_.confirms_close;
       if (settings_.proxied)
         endpoint.proxy = std::make_unique<Proxy>(loop, endpoint.server->address(), [this, id] {
           const Time held = proxy_delay(), now = loop::monotonic_now();
@@ -138,6 +139,7 @@
           std::string(kControlFileVariable) + "=" + r.control_file, settings_.program, "platform", "--config",
           r.config_file, "--log-lines", std::to_string(settings_.log_lines)},
       [this, relay](const std::string& line) {
+        record_conclusion(line);
         auto& log = relay_at(relay).log;
         if (log.size() < kMostLog) log.push_back(line);
       });
@@ -317,6 +319,20 @@
   }
 }
 
+void Fleet::record_conclusion(const std::string& line) {
+  if (line.find(R"("event":"attempt")") == std::string::npos &&
+      line.find(R"("event":"delivered")") == std::string::npos)
+    return;
+  const auto value = [&](const std::string& key, const std::string& until) {
+    const auto start = line.find(key);
+    if (start == std::string::npos) return std::string();
+    const auto first = start + key.size();
+    return line.substr(first, line.find(until, first) - first);
+  };
+  checker.conclusions.push_back({value("\"text\":\"id=", " "), value(" endpoint=", " "),
+                                 value(" outcome=", " "), value(R"( why=\")", R"(\")")});
+}
+
 Server::Reply Fleet::handle_call(const std::string& endpoint, const http1::Message& m, int connection) {
   const Time now = loop::monotonic_now();
   std::vector<std::string> ids;
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -32,8 +32,9 @@
   std::string body = "hello";
   // Endpoints answer 410 to a call of a message that has its final answer, or that its client has abandoned.
   bool endpoints_answer_gone = false;
-  int bundle_max = 1;     // messages that an endpoint takes in one call
-  int log_lines = 1'000;  // that a relay may write per second, for each kind of event
+  bool confirms_close = true;  // endpoints honour requests to close the connection
+  int bundle_max = 1;          // messages that an endpoint takes in one call
+  int log_lines = 1'000;       // that a relay may write per second, for each kind of event
 };
 
 // How an endpoint responds to a call: 410 says that the message has ended, 504 that its attempts are
@@ -172,6 +173,8 @@
   void write_due_copies(const std::string& endpoint, int connection);
   Server::Reply handle_notice_post(const http1::Message& request, int connection);
   void handle_notices(const std::string& body);
+  // Records what the relay concluded from an answer, if the log line tells of that.
+  void record_conclusion(const std::string& line);
   void launch(int relay);
   // Polls the relay's health until it is ready, and notices when its process has exited.
   void poll_process(int relay);
--- a/tests/faults/rule_checker.cpp
+++ b/tests/faults/rule_checker.cpp
@@ -84,9 +84,47 @@
   }
 }
 
+// A relay may conclude from an answer only what the endpoint answered to that message. For a message that may
+// run twice, it may treat an answer as a refusal of which it says that it is unproved.
+void RuleChecker::check_conclusions(CheckResult& result) const {
+  struct Answered {
+    int delivered = 0, refused = 0;
+  };
+  std::map<std::pair<std::string, std::string>, Answered> concluded;
+  for (const auto& conclusion : conclusions) {
+    const auto it = requests.find(conclusion.id);
+    if (it == requests.end()) continue;
+    const bool unproved = conclusion.reason.find("unproved") != std::string::npos;
+    if (unproved && !it->second.repeatable)
+      result.violations.push_back("an unproved answer to a message that must not run twice: " +
+                                  conclusion.id);
+    Answered& counted = concluded[{conclusion.id, conclusion.endpoint}];
+    if (conclusion.outcome == "served") counted.delivered++;
+    const bool from_answer = conclusion.reason == "503" || conclusion.reason == "429";
+    if (conclusion.outcome == "refused" && from_answer) counted.refused++;
+  }
+  for (const auto& [key, counted] : concluded) {
+    Answered did;
+    for (const auto& call : requests.at(key.first).calls) {
+      if (call.endpoint != key.second) continue;
+      did.delivered += call.answered == 200;
+      did.refused += call.answered == 503 || call.answered == 429;
+    }
+    const auto compare = [&](const char* what, int relay, int endpoint) {
+      if (relay > endpoint)
+        result.violations.push_back(std::string("taken for ") + what + ": " + key.first + " at " +
+                                    key.second + ", " + std::to_string(relay) + " times by the relay, " +
+                                    std::to_string(endpoint) + " times by the endpoint");
+    };
+    compare("delivered", counted.delivered, did.delivered);
+    compare("refused", counted.refused, did.refused);
+  }
+}
+
 CheckResult RuleChecker::check(Time now) const {
   CheckResult result;
   result.violations = immediate_violations;
+  check_conclusions(result);
   for (const auto& restart : restarts)
     if ((restart.ready == 0 ? now : restart.ready) - restart.signalled > kReadyWithin + lag)
       result.violations.push_back("relay " + std::to_string(restart.relay) + " signalled at " +
--- a/tests/faults/rule_checker.hpp
+++ b/tests/faults/rule_checker.hpp
@@ -51,6 +51,11 @@
   }
 };
 
+// What a relay concluded from the answer to a call, by its log.
+struct Conclusion {
+  std::string id, endpoint, outcome, reason;
+};
+
 // A relay process was terminated or killed, and when the process started in its place was ready.
 struct Restart {
   int relay = 0;
@@ -86,6 +91,7 @@
   std::map<std::string, Request> requests;
   std::vector<Restart> restarts;
   std::vector<ToldWait> waits;
+  std::vector<Conclusion> conclusions;
   std::vector<std::string> immediate_violations;  // violations that were found while the test ran
   Time lag = 0;  // longest delay of the test's own loop; added to every bound
   std::vector<Hold> holds;
@@ -101,6 +107,8 @@
   bool left_before(const Call& call, Time moment) const;
   void check_calls(const Request& request, const std::string& label, CheckResult& result) const;
   void check_answers(const Request& request, const std::string& label, CheckResult& result) const;
+  // Compares what the relays concluded with what the endpoints did, also where the difference did no harm.
+  void check_conclusions(CheckResult& result) const;
   // The time since the start of the test, as a text.
   std::string time_text(Time moment) const { return std::to_string((moment - started_at) / 1000) + " ms"; }
 };
--- a/tests/faults/soak.cpp
+++ b/tests/faults/soak.cpp
@@ -1,11 +1,13 @@
 // Fault-injection soak test: runs relays as real processes under randomly drawn faults, one run per seed, and
 // checks the delivery rules:
 //
-//   cedarplank_fault_soak --seeds 1-50 [--seconds 12] [--rate 60] [--logs FOLDER]
+//   cedarplank_fault_soak --seeds 1-50 [--seconds 12] [--rate 60] [--logs FOLDER] [--program FILE]
 //
 // Clients keep using open connections until the SIGKILL, which comes 3.7 s after SIGTERM. A run may have
 // several signals in a row, many idle clients, repeated requests while the first copy is held or after its
-// final answer, and every kind of fault that the fault library and the fleet support. Exits with 1 where a
+// final answer, second copies of answers at once, late or with the next call, and every kind of fault that
+// the fault library and the fleet support. What the relays concluded from answers is compared with what the
+// endpoints answered. Exits with 1 where a
 // rule was broken, and then keeps the relays' logs of that seed.
 #include <cerrno>
 #include <cstdio>
@@ -25,6 +27,7 @@
   std::uint64_t first = 1, last = 1;
   double seconds = 12, rate = 60;
   std::string logs;
+  std::string program = PROGRAM;  // the relay
 };
 
 // How endpoints currently respond: shares of calls by response, and endpoints that do not answer at all.
@@ -32,6 +35,10 @@
   double refused = 0, reset = 0, errors = 0, told_wait = 0, gone = 0, exhausted = 0;
   std::map<std::string, Time> hanging;  // endpoint -> until when
   Time slowest = 20 * kMs;
+  // Second copies: the share of the answers with this status (0: any), and how late they come at most.
+  double copied = 0;
+  int copied_status = 0;
+  Time copies_within = 40 * kMs;
 };
 
 // One run: draws faults from the seed and injects them while traffic flows.
@@ -49,9 +56,11 @@
 
   bool play(double rate) {
     fleet_.reply = [this](const auto& endpoint, const auto&) { return reply(endpoint); };
+    fleet_.second_copy = [this](const auto&, int status) { return second_copy(status); };
     fleet_.proxy_delay = [this] { return random_() % 4 == 0 ? random_below(proxy_most_) : 0; };
     if (!fleet_.start_all()) return false;
     start_ = loop::monotonic_now();
+    if (random_below(2) == 0) copy_answers(duration_);
     const int faults = 3 + static_cast<int>(random_below(4));
     for (int i = 0; i < faults; i++) {
       const Time when = random_below(duration_ - kS);
@@ -93,9 +102,35 @@
     return {Reply::Kind::ok, after};
   }
 
+  std::optional<SecondCopy> second_copy(int status) {
+    const bool matches = behaviour_.copied_status == 0 || behaviour_.copied_status == status;
+    if (!matches || chance() >= behaviour_.copied) return std::nullopt;
+    const auto after = random_below(2) == 0 ? SecondCopy::After::answer : SecondCopy::After::next_call;
+    return SecondCopy{after, random_below(behaviour_.copies_within)};
+  }
+
+  // Endpoints, or something before them, write answers twice; discovery repeats its answers to notices.
+  void copy_answers(Time duration) {
+    behaviour_.copied = random_choice({0.1, 0.5, 1.0});
+    behaviour_.copied_status = random_choice({0, 200, 503});
+    behaviour_.copies_within = random_choice({Time{8}, Time{40}, Time{400}}) * kMs;
+    behaviour_.refused = std::max(behaviour_.refused, 0.06);
+    fleet_.repeat_notice_answers = random_below(2) == 0;
+    record_step("answers with status " + std::to_string(behaviour_.copied_status) +
+                " (0: any) are written twice, share " + std::to_string(behaviour_.copied) + ", within " +
+                std::to_string(behaviour_.copies_within / kMs) + " ms");
+    schedule(duration, [this] {
+      behaviour_.copied = behaviour_.refused = 0;
+      fleet_.repeat_notice_answers = false;
+    });
+  }
+
   void inject_fault() {
     const int relay = static_cast<int>(random_below(relays_));
-    switch (random_below(15)) {
+    switch (random_below(17)) {
+      case 15:
+      case 16:
+        return copy_answers(kS + random_below(4 * kS));
       case 0:
       case 1:
         return fail_folder(relay);
@@ -298,21 +333,24 @@
 
 bool play(std::uint64_t seed, const Options& options) {
   FleetSettings settings;
-  settings.program = PROGRAM, settings.fault_library = FAULT_LIBRARY, settings.seed = seed;
+  settings.program = options.program, settings.fault_library = FAULT_LIBRARY, settings.seed = seed;
   settings.relays = 1 + static_cast<int>(seed % 3);
   settings.proxied = seed % 2 == 0;
   settings.endpoints_answer_gone = seed % 4 >= 2;
+  settings.bundle_max = seed % 4 == 1 ? 4 : 1;
+  settings.confirms_close = seed % 6 != 2;
   if (seed % 5 == 0) settings.body = std::string(16'000, 'x');
   FaultRun run(settings, static_cast<Time>(options.seconds * 1e6));
   const bool started = run.play(options.rate);
   auto result = run.fleet().checker.check(loop::monotonic_now());
   if (!started) result.violations.push_back("the relays did not become ready");
   std::printf(
-      "seed %llu: %zu handed in, %zu repeated, %zu accepted, %zu refused, %zu unanswered, %zu delivered "
+      "seed %llu: %d second copies, %zu handed in, %zu repeated, %zu accepted, %zu refused, %zu unanswered, "
+      "%zu delivered "
       "(%.3f), "
       "%zu restarts, lag %lld ms, %zu broken\n",
-      static_cast<unsigned long long>(seed), result.submitted, result.repeated, result.accepted,
-      result.refused, result.unanswered, result.delivered, result.share(),
+      static_cast<unsigned long long>(seed), run.fleet().second_copies_written, result.submitted,
+      result.repeated, result.accepted, result.refused, result.unanswered, result.delivered, result.share(),
       run.fleet().checker.restarts.size(), static_cast<long long>(run.fleet().checker.lag / kMs),
       result.violations.size());
   for (const auto& line : result.violations) std::printf("  %s\n", line.c_str());
@@ -343,6 +381,8 @@
       options.rate = std::stod(value);
     } else if (name == "--logs") {
       options.logs = value;
+    } else if (name == "--program") {
+      options.program = value;
     } else {
       throw std::invalid_argument("unknown option " + name);
     }
--- a/tests/platform_answers_test.cpp
+++ b/tests/platform_answers_test.cpp
@@ -151,5 +151,21 @@
   EXPECT_GT(verdict.ended, 50u);
 }
 
+// Guards against a judge that sees wrong conclusions only where they break another rule.
+TEST(RuleCheckerConclusions, WhatARelayConcludesMustBeWhatTheEndpointAnswered) {
+  RuleChecker checker;
+  Request request;
+  request.id = "m-1", request.repeatable = false;
+  request.calls = {{1, "s-1", true, 200}, {2, "s-2", false, 503}};
+  checker.requests["m-1"] = request;
+  checker.conclusions = {{"m-1", "s-1", "served", "200"}, {"m-1", "s-2", "refused", "503"}};
+  EXPECT_TRUE(checker.check(3).violations.empty());
+  checker.conclusions.push_back({"m-1", "s-1", "refused", "503"});
+  checker.conclusions.push_back({"m-1", "s-2", "served", "200"});
+  EXPECT_EQ(checker.check(3).violations.size(), 2u);
+  checker.conclusions = {{"m-1", "s-2", "refused", "503, unproved"}};
+  EXPECT_EQ(checker.check(3).violations.size(), 1u) << "a message that must not run twice";
+}
+
 }  // namespace
 }  // namespace cedarplank::testing::faults
