Endpoints: an unproved refusal closes its connection only where copies are barred

Cause: an unproved refusal closed its connection, though refusals are common; each cost a new connection. Change: it is closed only where a retry would be a barred second copy beside a call that may still be out. Later calls on it have proofs of their own, so none gets the wrong answer; the log says of such an outcome that it is unproved.

--- a/src/platform/endpoint_transport.cpp
+++ b/src/platform/endpoint_transport.cpp
@@ -308,7 +308,10 @@
   if (!own) counts_.unproved++;
   if (own && conn->asks_to_close) note_close_confirmation(conn, conn->reader.message().close);
   if (bytes_left > 0) report_unasked(*conn, bytes_left);
-  const bool reusable = own && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
+  // After an unproved answer the call may still be out: kept open, its connection would make a retry a second
+  // copy. Later calls have proofs of their own.
+  const bool in_step = own || bounds_.second_copies;
+  const bool reusable = in_step && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
                         !conn->reader.message().close;
   if (!conn->outcome_reported) report_outcomes(conn, outcomes_of_answer(*conn));
   finish_call(conn, reusable);
@@ -332,8 +335,11 @@
   if (!conn.bulk) return std::vector(conn.members.size(), ending_of(answer));
   std::vector<std::string> ids;
   for (const auto& member : conn.members) ids.push_back(member.message->owner);
-  const bool proved = match_answer(conn) == AnswerMatch::own;
-  return endings_of(answer, proved || ending_of(answer).outcome != Outcome::served, ids);
+  if (match_answer(conn) == AnswerMatch::own) return endings_of(answer, true, ids);
+  const bool refusal = ending_of(answer).outcome != Outcome::served;
+  auto endings = endings_of(answer, refusal, ids);
+  for (auto& ending : endings) ending.detail += ", unproved";
+  return endings;
 }
 
 bool EndpointTransport::status_proves_served(const Connection& conn) const {
