HTTP/1.1: a status line within a line breaks the answer; no status goes to the next

Cause: found while looking for the same mistake in related code. Of an answer that breaks off in its status line or in a field, with the next answer right behind, the status was read together with the fields of the next: half a line of a copied 200, then the call's own 503 with Connection: close, was a 200 that confirms the close, so a delivery. The reason phrase and field values may hold almost any text. Change: a line of a response's head in which another status line begins is malformed. The soak's copies may be cut.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -37,6 +37,16 @@
 bool all_digits(std::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
+// Whether a status line begins within the text, behind its first byte or, in a field, anywhere.
+bool contains_status_line(std::string_view text, std::size_t from) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  for (auto at = text.find(kVersion, from); at != std::string_view::npos; at = text.find(kVersion, at + 1)) {
+    const auto rest = text.substr(at + kVersion.size());
+    if (rest.size() >= 5 && all_digits(rest.substr(0, 1)) && rest[1] == ' ' && all_digits(rest.substr(2, 3)))
+      return true;
+  }
+  return false;
+}
 
 }  // namespace
 
@@ -157,6 +167,11 @@
 }
 
 bool Parser::handle_line(std::string_view text) {
+  // An answer of which only a part was sent, with the next one right behind: the status of the first must not
+  // be read with the fields of the second.
+  const bool in_head = expected_ == Expected::start || expected_ == Expected::fields;
+  if (side_ == Side::responses && in_head && contains_status_line(text, expected_ == Expected::start ? 1 : 0))
+    return fail(502, "a status line within a line");
   switch (expected_) {
     case Expected::start:
       // One empty line before a request is ignored (RFC 9112 section 2.2).
--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -411,11 +411,13 @@
   e.server->write(connection, bytes);
   const auto copy = second_copy(endpoint, status);
   if (!copy) return;
+  const auto size = static_cast<std::size_t>(copy->part * static_cast<double>(bytes.size()));
+  const std::string copied = bytes.substr(0, size);
   if (copy->after == SecondCopy::After::next_call) {
-    e.due_copies[connection] = {bytes, copy->delay};
+    e.due_copies[connection] = {copied, copy->delay};
     return;
   }
-  write_copy(endpoint, connection, {bytes, copy->delay});
+  write_copy(endpoint, connection, {copied, copy->delay});
 }
 
 void Fleet::write_copy(const std::string& endpoint, int connection, const DueCopy& copy) {
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -49,7 +49,8 @@
 // to the call that it belongs to.
 struct SecondCopy {
   enum class After { answer, next_call } after = After::next_call;
-  Time delay = 0;  // after the first copy, or after the last byte of the connection's next call
+  Time delay = 0;   // after the first copy, or after the last byte of the connection's next call
+  double part = 1;  // how much of it is written
 };
 
 // Relays, clients, endpoints and platform of one test.
--- a/tests/faults/soak.cpp
+++ b/tests/faults/soak.cpp
@@ -39,6 +39,7 @@
   double copied = 0;
   int copied_status = 0;
   Time copies_within = 40 * kMs;
+  double copied_in_part = 0;  // share of the copies of which only a part is written
 };
 
 // One run: draws faults from the seed and injects them while traffic flows.
@@ -106,7 +107,8 @@
     const bool matches = behaviour_.copied_status == 0 || behaviour_.copied_status == status;
     if (!matches || chance() >= behaviour_.copied) return std::nullopt;
     const auto after = random_below(2) == 0 ? SecondCopy::After::answer : SecondCopy::After::next_call;
-    return SecondCopy{after, random_below(behaviour_.copies_within)};
+    const double part = chance() < behaviour_.copied_in_part ? chance() : 1;
+    return SecondCopy{after, random_below(behaviour_.copies_within), part};
   }
 
   // Endpoints, or something before them, write answers twice; discovery repeats its answers to notices.
@@ -114,6 +116,7 @@
     behaviour_.copied = random_choice({0.1, 0.5, 1.0});
     behaviour_.copied_status = random_choice({0, 200, 503});
     behaviour_.copies_within = random_choice({Time{8}, Time{40}, Time{400}}) * kMs;
+    behaviour_.copied_in_part = random_choice({0.0, 0.0, 0.3});
     behaviour_.refused = std::max(behaviour_.refused, 0.06);
     fleet_.repeat_notice_answers = random_below(2) == 0;
     record_step("answers with status " + std::to_string(behaviour_.copied_status) +
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -149,6 +149,18 @@
   EXPECT_EQ(cut.state(), State::broken);
 }
 
+// Guards against a refusal that is read as a 200, because half a line of an earlier answer came before it.
+TEST(Http1, ABrokenOffAnswerLendsItsStatusToNoOther) {
+  const std::string copy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Load-Report: {}\r\n\r\n";
+  const std::string own = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t part = 1; part < copy.size(); part++) {
+    Parser p(Parser::Side::responses);
+    p.consume(copy.substr(0, part) + own);
+    EXPECT_FALSE(p.response_status() == 200 && p.message().lists("connection", "close")) << part;
+    EXPECT_FALSE(p.state() == Parser::State::complete && p.message().close) << part;
+  }
+}
+
 TEST(Http1, SecondsAreDigitsWithAtMostOnePoint) {
   std::int64_t us = 0;
   EXPECT_TRUE(parse_seconds("0.480", us));
