Endpoints: a told wait in an answer without proof is heeded

Cause: by reading. Change: such an answer ends the call as one that may have run, and its wait is heeded. No connection is kept after a told wait, so that no copy of one can meet a later call. Core::report, declared and never defined, is gone.

--- a/src/platform/endpoint_transport.cpp
+++ b/src/platform/endpoint_transport.cpp
@@ -284,8 +284,12 @@
   }
   const auto match = match_answer(*conn);
   if (match == AnswerMatch::foreign) {
+    const Time wait = told_wait(conn->reader.message());
     skip_foreign_answer(conn);
-    return true;
+    if (wait == 0) return true;
+    report_same_outcome(conn, {Outcome::error, wait, {}, "a told wait, unproved", {}});
+    close_connection(conn);
+    return false;
   }
   handle_whole_answer(conn, match, bytes_left);
   return false;
@@ -311,8 +315,10 @@
   // After an unproved answer the call may still be out: kept open, its connection would make a retry a second
   // copy. Later calls have proofs of their own.
   const bool in_step = own || bounds_.second_copies;
-  const bool reusable = in_step && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
-                        !conn->reader.message().close;
+  // Of a told wait no copy may meet a later call: it would have to be heeded.
+  const bool waits = told_wait(conn->reader.message()) > 0;
+  const bool reusable = in_step && !waits && bytes_left == 0 && !conn->foreign_answers &&
+                        !conn->asks_to_close && !conn->reader.message().close;
   if (!conn->outcome_reported) report_outcomes(conn, outcomes_of_answer(*conn));
   finish_call(conn, reusable);
 }
--- a/src/platform/semantics.cpp
+++ b/src/platform/semantics.cpp
@@ -40,12 +40,6 @@
   return false;
 }
 
-Time told_wait(const http1::Message& answer) {
-  const auto* after = answer.find("retry-after");
-  Time wait = 0;
-  return after != nullptr && http1::parse_seconds(*after, wait) ? wait : 0;
-}
-
 Report report_of(const http1::Message& answer) {
   Report report;
   const auto* text = answer.find("x-load-report");
@@ -177,6 +171,12 @@
   return ids;
 }
 
+Time told_wait(const http1::Message& answer) {
+  const auto* after = answer.find("retry-after");
+  Time wait = 0;
+  return after != nullptr && http1::parse_seconds(*after, wait) ? wait : 0;
+}
+
 relay::CallResult ending_of(const http1::Message& answer) {
   relay::CallResult e;
   e.detail = std::to_string(answer.status);
--- a/src/platform/semantics.hpp
+++ b/src/platform/semantics.hpp
@@ -47,6 +47,8 @@
 
 // The outcome of a call with one message, from an answer whose head is complete.
 relay::CallResult ending_of(const http1::Message& answer);
+// The time that an answer tells the relay to wait; 0: none.
+Time told_wait(const http1::Message& answer);
 // The client ids that the lines of a bulk answer name.
 std::vector<std::string> ids_in_answer(const http1::Message& answer);
 // The outcomes of the messages of a call, in the order of `ids`. `whole`: the answer is complete and
--- a/src/relay/core.hpp
+++ b/src/relay/core.hpp
@@ -295,7 +295,6 @@
   void update_endpoints(const std::vector<Endpoint>& endpoints, bool whole);
   // Ends the calls to the endpoint of which nothing has been sent.
   void end_unsent_calls(const EndpointId& endpoint);
-  void report(const Call& call, const CallResult& ending, Time latency);
   // Ends all messages with a deadline up to `until`.
   void end_messages_due(Time now, Time until);
   void end_call(Time now, std::map<CallId, Call>::iterator it, const CallResult& ending);
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -244,6 +244,27 @@
   EXPECT_EQ(calls[5].connection, calls[6].connection);
 }
 
+// Guards against sends during a told wait, because the answer that told it could not be proved to be the
+// call's own.
+TEST_F(EndpointsCrossings, AToldWaitIsHeededWhoseverItIs) {
+  add_endpoint("s-1", 7);
+  endpoints.at("s-1").server->confirms_close = false;
+  open();
+  keep_one_connection();
+  endpoint_replies["s-1"] = [](const Call&) {
+    return Server::Reply{http1::build_response(429, {{"Retry-After", "1"}}, {}, false)};
+  };
+  for (relay::CallId id : {2, 3}) {
+    order(id, "m-" + std::to_string(id), 1'000'000);
+    transport->flush();
+    ASSERT_TRUE(run_until([&] { return ends.count(id) > 0; }));
+    EXPECT_EQ(ends[id].told_wait, 1'000'000);
+    EXPECT_EQ(transport->connections(), 0u) << "a copy of it would have to be heeded";
+  }
+  EXPECT_EQ(ends[2].outcome, Outcome::error) << "it may have run";
+  EXPECT_EQ(ends[3].outcome, Outcome::full) << "the first answer of a connection";
+}
+
 // Guards against a delivery that is taken for doubtful because the answer breaks off behind the field that
 // proves it to be the call's own.
 TEST_F(EndpointsCrossings, ADeliveryIsKnownOnceItsAnswerConfirmsTheClose) {
