Soak: an endpoint's word behind a cut copy can't be read, so it binds nothing

The trace: half a copy of a 200 stood before the 410 on the connection, so the relay read a malformed answer (twice: a status line within a line) and tried the message, which may run twice, again. What can't be read can't be heeded, and an answer that can't be read leaves the outcome open; the call is allowed. Change: a 410, a 504 or a told wait that an endpoint writes behind a cut copy on the same connection is not held against the relay. All other checks stay, also for these messages.

--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -359,47 +359,48 @@
     }
   write_due_copies(endpoint, connection);
   Server& server = *endpoints_.at(endpoint).server;
-  loop.after(
-      planned.delay, [this, &server, planned, ids, members, bulk, endpoint, connection, alive = alive_] {
-        if (!*alive || !server.is_open(connection)) return;
-        const auto answer = [&](int status, const std::vector<http1::Field>& fields = {},
-                                const std::string& body = {}) {
-          write_answer(endpoint, connection, members, status, fields, body);
-        };
-        switch (planned.kind) {
-          case Reply::Kind::hang:
-            return;
-          case Reply::Kind::reset:
-            return server.reset(connection);
-          case Reply::Kind::refuse:
-            return answer(503);
-          case Reply::Kind::told_wait:
-            if (const auto it = checker.requests.find(ids.front()); it != checker.requests.end()) {
-              const Time told_at = loop::monotonic_now();
-              checker.waits.push_back({endpoint, it->second.relay, told_at, told_at + planned.retry_after});
-            }
-            return answer(429, {{"Retry-After", http1::format_seconds(planned.retry_after)}});
-          case Reply::Kind::error:
-            return answer(500);
-          case Reply::Kind::gone:
-          case Reply::Kind::exhausted: {
-            const auto it = checker.requests.find(ids.front());
-            if (it != checker.requests.end() && it->second.endpoint_ended == 0)
-              it->second.endpoint_ended = loop::monotonic_now();
-            return answer(planned.kind == Reply::Kind::gone ? 410 : 504);
-          }
-          case Reply::Kind::ok:
-            break;
+  loop.after(planned.delay, [this, &server, planned, ids, members, bulk, endpoint, connection,
+                             alive = alive_] {
+    if (!*alive || !server.is_open(connection)) return;
+    const bool readable = endpoints_.at(endpoint).cut_connections.count(connection) == 0;
+    const auto answer = [&](int status, const std::vector<http1::Field>& fields = {},
+                            const std::string& body = {}) {
+      write_answer(endpoint, connection, members, status, fields, body);
+    };
+    switch (planned.kind) {
+      case Reply::Kind::hang:
+        return;
+      case Reply::Kind::reset:
+        return server.reset(connection);
+      case Reply::Kind::refuse:
+        return answer(503);
+      case Reply::Kind::told_wait:
+        if (const auto it = checker.requests.find(ids.front()); readable && it != checker.requests.end()) {
+          const Time told_at = loop::monotonic_now();
+          checker.waits.push_back({endpoint, it->second.relay, told_at, told_at + planned.retry_after});
         }
-        std::string body;
-        if (bulk)
-          for (const auto& id : ids) body += id + " ok\r\n";
-        answer(200, {}, body);
-        for (const auto& id : ids)
-          if (const auto it = checker.requests.find(id);
-              it != checker.requests.end() && it->second.delivered == 0)
-            it->second.delivered = loop::monotonic_now();
-      });
+        return answer(429, {{"Retry-After", http1::format_seconds(planned.retry_after)}});
+      case Reply::Kind::error:
+        return answer(500);
+      case Reply::Kind::gone:
+      case Reply::Kind::exhausted: {
+        const auto it = checker.requests.find(ids.front());
+        if (readable && it != checker.requests.end() && it->second.endpoint_ended == 0)
+          it->second.endpoint_ended = loop::monotonic_now();
+        return answer(planned.kind == Reply::Kind::gone ? 410 : 504);
+      }
+      case Reply::Kind::ok:
+        break;
+    }
+    std::string body;
+    if (bulk)
+      for (const auto& id : ids) body += id + " ok\r\n";
+    answer(200, {}, body);
+    for (const auto& id : ids)
+      if (const auto it = checker.requests.find(id);
+          it != checker.requests.end() && it->second.delivered == 0)
+        it->second.delivered = loop::monotonic_now();
+  });
   return {};
 }
 
@@ -414,17 +415,18 @@
   const auto size = static_cast<std::size_t>(copy->part * static_cast<double>(bytes.size()));
   const std::string copied = bytes.substr(0, size);
   if (copy->after == SecondCopy::After::next_call) {
-    e.due_copies[connection] = {copied, copy->delay};
+    e.due_copies[connection] = {copied, copy->delay, copy->part < 1};
     return;
   }
-  write_copy(endpoint, connection, {copied, copy->delay});
+  write_copy(endpoint, connection, {copied, copy->delay, copy->part < 1});
 }
 
 void Fleet::write_copy(const std::string& endpoint, int connection, const DueCopy& copy) {
-  loop.after(copy.delay, [this, endpoint, connection, bytes = copy.bytes, alive = alive_] {
+  loop.after(copy.delay, [this, endpoint, connection, copy, alive = alive_] {
     if (!*alive || !endpoints_.at(endpoint).server->is_open(connection)) return;
     second_copies_written++;
-    endpoints_.at(endpoint).server->write_unasked(connection, bytes);
+    endpoints_.at(endpoint).server->write_unasked(connection, copy.bytes);
+    if (copy.cut) endpoints_.at(endpoint).cut_connections.insert(connection);
   });
 }
 
--- a/tests/faults/fleet.hpp
+++ b/tests/faults/fleet.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -152,10 +153,13 @@
   struct DueCopy {
     std::string bytes;
     Time delay;
+    bool cut;
   };
   struct Endpoint {
     int destination = 0;
     std::map<int, DueCopy> due_copies;  // by connection, for its next call
+    // Connections on which a copy was cut: what is written behind it can't be read.
+    std::set<int> cut_connections;
     std::unique_ptr<Server> server;
     std::unique_ptr<Proxy> proxy;
   };
