Endpoints: no call goes out behind one that has no proved answer

The trace: a copy of a 503 was taken for the end of the connection's second call, which was unproved, and the connection stayed open; the third call asked to close it while the endpoint still worked on the second, and the answer to the second confirmed the close. Change: an unproved answer ends its connection again, whether second copies are barred or not. Ids prove only where the connection has carried none of the messages before: a copy of an answer that put a message off would be taken for the answer to its next call.

--- a/src/platform/answer_matching.cpp
+++ b/src/platform/answer_matching.cpp
@@ -23,9 +23,9 @@
 
 }  // namespace
 
-AnswerProof choose_proof(bool first, bool may_repeat, bool takes_bulk) {
+AnswerProof choose_proof(bool first, bool may_repeat, bool ids_prove) {
   if (first) return AnswerProof::first_on_connection;
-  return may_repeat && takes_bulk ? AnswerProof::message_ids : AnswerProof::close_confirmed;
+  return may_repeat && ids_prove ? AnswerProof::message_ids : AnswerProof::close_confirmed;
 }
 
 AnswerMatch match_answer(AnswerProof proof, const http1::Message& answer,
--- a/src/platform/answer_matching.hpp
+++ b/src/platform/answer_matching.hpp
@@ -21,9 +21,10 @@
 };
 
 // `first`: the connection has carried no other call. `may_repeat`: all messages of the call may run more than
-// once. `takes_bulk`: the endpoint takes bulk calls. Where only message ids prove an answer, a refusal is not
-// proved, since it names no message; so that proof is for messages that may repeat.
-AnswerProof choose_proof(bool first, bool may_repeat, bool takes_bulk);
+// once. `ids_prove`: the endpoint takes bulk calls, and the connection has carried none of the messages.
+// Where only message ids prove an answer, a refusal is not proved, since it names no message; so that proof
+// is for messages that may repeat.
+AnswerProof choose_proof(bool first, bool may_repeat, bool ids_prove);
 
 enum class AnswerMatch {
   own,       // the call's own answer
--- a/src/platform/endpoint_transport.cpp
+++ b/src/platform/endpoint_transport.cpp
@@ -124,8 +124,10 @@
   const Time wait =
       called.size() == 1 ? conn->members.front().timeout : wait_key(conn->members.front()).first;
   const Time budget = std::max<Time>(1'000, wait - (loop_.now() - conn->ordered_at));
-  const bool first = conn->call_count == 1;
-  conn->proof = choose_proof(first, may_repeat(conn->members), takes_bulk(conn->endpoint));
+  bool names_are_new = true;
+  for (const auto& id : conn->called_ids) names_are_new &= conn->carried_ids.insert(id).second;
+  conn->proof = choose_proof(conn->call_count == 1, may_repeat(conn->members),
+                             takes_bulk(conn->endpoint) && names_are_new);
   conn->bulk = called.size() > 1 || conn->proof == AnswerProof::message_ids;
   conn->asks_to_close =
       conn->proof == AnswerProof::close_confirmed || unconfirming_.count(conn->endpoint) > 0;
@@ -312,13 +314,11 @@
   if (!own) counts_.unproved++;
   if (own && conn->asks_to_close) note_close_confirmation(conn, conn->reader.message().close);
   if (bytes_left > 0) report_unasked(*conn, bytes_left);
-  // After an unproved answer the call may still be out: kept open, its connection would make a retry a second
-  // copy. Later calls have proofs of their own.
-  const bool in_step = own || bounds_.second_copies;
+  // After an unproved answer the call may still be out, and a connection carries one call at a time.
   // Of a told wait no copy may meet a later call: it would have to be heeded.
   const bool waits = told_wait(conn->reader.message()) > 0;
-  const bool reusable = in_step && !waits && bytes_left == 0 && !conn->foreign_answers &&
-                        !conn->asks_to_close && !conn->reader.message().close;
+  const bool reusable = own && !waits && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
+                        !conn->reader.message().close;
   if (!conn->outcome_reported) report_outcomes(conn, outcomes_of_answer(*conn));
   finish_call(conn, reusable);
 }
--- a/src/platform/endpoint_transport.hpp
+++ b/src/platform/endpoint_transport.hpp
@@ -86,6 +86,7 @@
     bool foreign_answers = false;                          // answers came that belong to no call
     std::size_t answer_bytes = 0;                          // of the answer that is being read, so far
     std::vector<std::string> called_ids;                   // client ids of the call's messages, as written
+    std::set<std::string> carried_ids;                     // of all its calls
     std::vector<relay::OutgoingCall> members;              // messages of the call that have no outcome yet
     std::size_t message_count = 0;  // messages that the call has, or will start with; 0: idle
     bool outcome_reported = false;  // the outcome is reported; the rest of the answer is still to come
--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -17,9 +17,12 @@
 // between.
 class EndpointsCrossings : public ::testing::Test, public PlatformFixture {
  protected:
-  void open(bool second_copies = true) {
+  // `bundle_max`: the most messages in one call; 0: messages may not run more than once either.
+  void open(bool second_copies = true, int bundle_max = 0) {
+    EndpointTransport::Bounds bounds{8, 3'000'000, 5'000'000, second_copies};
+    if (bundle_max > 0) bounds.repeatable_classes = {true}, bounds.bundle_max = {bundle_max};
     transport = std::make_unique<EndpointTransport>(
-        loop, EndpointTransport::Bounds{8, 3'000'000, 5'000'000, second_copies},
+        loop, bounds,
         EndpointTransport::Host{.ended = [this](relay::CallId c, relay::CallResult e) { ends[c] = e; },
                                 .log = {}});
     Catalogue list;
@@ -244,6 +247,30 @@
   EXPECT_EQ(calls[5].connection, calls[6].connection);
 }
 
+// Guards against a second call on a connection whose first one is still being worked on, because a copy of a
+// refusal was taken for its end: an endpoint that answers both confirms the close with the first.
+TEST_F(EndpointsCrossings, AfterAnUnprovedRefusalTheConnectionCarriesNoOtherCall) {
+  add_endpoint("s-1", 7);
+  int held = 0;
+  endpoint_replies["s-1"] = [&](const Call& call) {
+    if (call.body.find("second") == std::string::npos) return Server::Reply{ok_answer(call)};
+    held = call.connection;
+    return Server::Reply{http1::build_response(503, {}, {}, false)};
+  };
+  open(true, 4);
+  keep_one_connection();
+  order(2, "second", 1'000'000);
+  transport->flush();
+  ASSERT_TRUE(run_until([&] { return ends.count(2) > 0; }));
+  EXPECT_EQ(ends[2].outcome, Outcome::full);
+  EXPECT_EQ(ends[2].detail, "503, unproved");
+  order(3, "third", 1'000'000);
+  transport->flush();
+  ASSERT_TRUE(run_until([&] { return ends.count(3) > 0; }));
+  EXPECT_EQ(ends[3].outcome, Outcome::served);
+  EXPECT_NE(calls.back().connection, held);
+}
+
 // Guards against sends during a told wait, because the answer that told it could not be proved to be the
 // call's own.
 TEST_F(EndpointsCrossings, AToldWaitIsHeededWhoseverItIs) {
