Endpoints: an end or a wait is heeded without proof; its connection is not kept

The trace: the call's own 410 said nothing of closing, so it was skipped as a copy; the call was given up and the message tried elsewhere, where it heard 410 again. Change: 410, 504 and told waits forbid sends, so an answer without proof that says so ends the call as one that may have run, and what it forbids is heeded. No connection is kept after such an answer, so no copy of it can meet a later call; one that comes ahead of a call's last byte is the call's own then.

--- a/src/platform/endpoint_transport.cpp
+++ b/src/platform/endpoint_transport.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t kMaxPeekedBytes = 1'024;  // looked at on an idle connection, for the log
 constexpr Time kRestTimeout = 1'000'000;        // from an outcome to the end of the answer
 
+// Whether the outcome forbids sends that might follow it: of the message, or to the destination for a time.
+bool binds_later_sends(const relay::CallResult& ending) {
+  return ending.told_wait > 0 || ending.retry_status != relay::RetryStatus::allowed;
+}
+
 }  // namespace
 
 EndpointTransport::EndpointTransport(loop::Loop& loop, Bounds bounds, Host host)
@@ -286,10 +291,11 @@
   }
   const auto match = match_answer(*conn);
   if (match == AnswerMatch::foreign) {
-    const Time wait = told_wait(conn->reader.message());
+    const auto said = ending_of(conn->reader.message());
     skip_foreign_answer(conn);
-    if (wait == 0) return true;
-    report_same_outcome(conn, {Outcome::error, wait, {}, "a told wait, unproved", {}});
+    if (!binds_later_sends(said)) return true;
+    report_same_outcome(
+        conn, {Outcome::error, said.told_wait, {}, said.detail + ", unproved", {}, said.retry_status});
     close_connection(conn);
     return false;
   }
@@ -315,9 +321,10 @@
   if (own && conn->asks_to_close) note_close_confirmation(conn, conn->reader.message().close);
   if (bytes_left > 0) report_unasked(*conn, bytes_left);
   // After an unproved answer the call may still be out, and a connection carries one call at a time.
-  // Of a told wait no copy may meet a later call: it would have to be heeded.
-  const bool waits = told_wait(conn->reader.message()) > 0;
-  const bool reusable = own && !waits && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
+  // No copy of an answer that binds later sends may meet a later call: it would have to be heeded.
+  const bool binds =
+      told_wait(conn->reader.message()) > 0 || binds_later_sends(ending_of(conn->reader.message()));
+  const bool reusable = own && !binds && bytes_left == 0 && !conn->foreign_answers && !conn->asks_to_close &&
                         !conn->reader.message().close;
   if (!conn->outcome_reported) report_outcomes(conn, outcomes_of_answer(*conn));
   finish_call(conn, reusable);
@@ -387,9 +394,9 @@
 }
 
 // On a connection that has carried a call before, the answer may be a copy of that call's: it ends nothing
-// but the connection. A told wait is heeded, whosever it is.
+// but the connection, unless it binds later sends.
 void EndpointTransport::finish_early_answer(const ConnectionPtr& conn, const relay::CallResult& ending) {
-  if (conn->call_count > 1 && ending.told_wait == 0) {
+  if (conn->call_count > 1 && !binds_later_sends(ending)) {
     report_unasked(*conn, conn->answer_bytes);
     return move_to_other_connection(conn);
   }
