--- a/tests/faults/rule_checker.hpp
+++ b/tests/faults/rule_checker.hpp
@@ -46,6 +46,7 @@
   Time notified = 0;             // arrival of its first notice; 0: none
   bool notified_failed = false;  // that notice reported "failed", otherwise "returned"
   Time endpoint_ended = 0;       // an endpoint first answered 410 or 504: send nothing more for it; 0: none
+  bool end_unrecorded = false;   // its relay's folder could not be written then
   bool accepted() const {
     return std::any_of(answers.begin(), answers.end(), [](const Answer& a) { return a.accepts(); });
   }
@@ -105,6 +106,8 @@
   Time final_answer_due(const Request& request) const;
   // Whether the call may have left the relay before that moment and been in flight since.
   bool left_before(const Call& call, Time moment) const;
+  // Whether the relay was ended by a signal in that time.
+  bool restarted_between(int relay, Time from, Time until) const;
   void check_calls(const Request& request, const std::string& label, CheckResult& result) const;
   void check_answers(const Request& request, const std::string& label, CheckResult& result) const;
   // Compares what the relays concluded with what the endpoints did, also where the difference did no harm.
