--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
 """An endpoint's answers arrive spoilt, and the relay is killed while it holds messages that got such an answer.
-TROUBLE=0: neither. TROUBLE=noise and TROUBLE=kill: one of them alone."""
+TROUBLE=0: neither. TROUBLE=noise and TROUBLE=kill: one of them alone. TROUBLE=long: a variant, in which the noise is plain
+text but long, the messages are large, and ten more are handed in half a second before the kill."""
 
 import os
 import signal
@@ -12,8 +13,10 @@
 import world  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1")
-NOISE, KILL = TROUBLE in ("1", "noise"), TROUBLE in ("1", "kill")
-WATCHED, BUDGET = 10, 12.0  # messages for the partner whose answers are spoilt, and their time in seconds
+LONG = TROUBLE == "long"
+NOISE, KILL = TROUBLE in ("1", "noise", "long"), TROUBLE in ("1", "kill", "long")
+WATCHED = 4 if LONG else 10  # messages for the partner whose answers are spoilt
+BUDGET = 12.0  # the messages' time in seconds
 USUAL_PER_S, USUAL_BODY, USUAL_FOR = 60.0, 10000, 4.0  # messages for another partner, meanwhile
 DOWN = 0.6  # seconds from SIGKILL to the next start
 SLACK, AFTER_READY = 0.35, 1.5  # of the rule on lost messages
@@ -42,10 +45,13 @@
             ids.append(id)
             rest = rest[int(length) + 2:]
         word = b"\xff\xfe\x9c\x80" if NOISE else b"error"
-        for id in ids:
-            self.record("endpoint %s runs id=%s and answers %r" % (self.name, id, word))
+        words = [word] * len(ids)
+        if LONG:
+            words = [b"#" * 63000] + [b"error"] * (len(ids) - 1)
+        for id, word in zip(ids, words):
+            self.record("endpoint %s runs id=%s and answers %r, %d bytes" % (self.name, id, word[:8], len(word)))
         time.sleep(self.delay)
-        text = b"".join(id.encode("latin-1") + b" " + word + b"\r\n" for id in ids)
+        text = b"".join(id.encode("latin-1") + b" " + word + b"\r\n" for id, word in zip(ids, words))
         close = fields.get("connection", "").lower() == "close"
         sock.sendall(world.answer_bytes(200, (), text, close))
         return not close
@@ -82,12 +88,16 @@
         relay.start()
         begin = time.monotonic()
         for i in range(WATCHED):
-            start("watched-%d" % i, SPOILT, b"x" * 100)
+            start("watched-%d" % i, SPOILT, b"x" * (64000 if LONG and i > 0 else 100))
         n = 0
         while time.monotonic() < begin + USUAL_FOR:
             start("usual-%d" % n, SOUND, b"y" * USUAL_BODY)
             n += 1
             time.sleep(max(0.0, begin + n / USUAL_PER_S - time.monotonic()))
+        if LONG:
+            for i in range(10):
+                start("late-%d" % i, SPOILT, b"z" * 100)
+            time.sleep(0.5)
         for thread in threads:
             thread.join(1)
         if KILL:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -3,6 +3,7 @@
 
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -31,9 +32,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
+    """A port below those that the system gives to connections, so that it is still free at a restart."""
+    while True:
+        port = random.randrange(20000, 30000)
+        try:
+            with socket.socket() as s:
+                s.bind((HOST, port))
+                return port
+        except OSError:
+            pass
 
 
 class Reader:
