Text: octets from outside are valid UTF-8 in JSON and printable in log lines

Change: src/text has the one way for a text into JSON (invalid sequences become U+FFFD, utfcpp) and to_printable() for fields of log lines: results of bulk answers are cut at 64 bytes, others than visible ASCII given as \xNN. All five writers use it. Result: Octets.AnyOctetsAreWrittenAsValidJson and ALogLinesFieldIsPrintableAndBounded pass. Red before, by the same checks on the landed code: to_json() of a record with the octets ff fe 9c 80 is no valid JSON, and the detail of such a result is the octets themselves.

--- a/app/json_log.hpp
+++ b/app/json_log.hpp
@@ -1,8 +1,6 @@
 // Structured log: one JSON object per line on standard error, written through spdlog.
 #pragma once
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -10,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "text/text.hpp"
+
 namespace cedarplank::app {
 
 class JsonLog {
@@ -23,11 +23,10 @@
   using Fields = std::vector<std::pair<const char*, std::string>>;
   void write(const char* event, const Fields& fields, spdlog::level::level_enum level = spdlog::level::info) {
     rapidjson::StringBuffer buffer;
-    rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+    text::JsonWriter w(buffer);
     w.StartObject();
-    w.Key("event"), w.String(event);
-    for (const auto& [key, value] : fields)
-      w.Key(key), w.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+    text::write_json(w, "event", event);
+    for (const auto& [key, value] : fields) text::write_json(w, key, value);
     w.EndObject();
     // The pattern supplies the outer braces.
     logger_.log(level, std::string(buffer.GetString() + 1, buffer.GetSize() - 2));
--- a/src/gateway/semantics.cpp
+++ b/src/gateway/semantics.cpp
@@ -1,12 +1,12 @@
 #include "gateway/semantics.hpp"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <time.h>
 
 #include <algorithm>
 #include <charconv>
 
+#include "text/text.hpp"
+
 namespace cedarplank::gateway {
 namespace {
 
@@ -146,10 +146,8 @@
 std::string problem_body(const Problem& problem, const std::string& message, const std::string& message_class,
                          const std::string& last_outcome, int attempts) {
   rapidjson::StringBuffer buffer;
-  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
-  const auto text = [&](const char* key, const std::string& value) {
-    w.Key(key), w.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-  };
+  text::JsonWriter w(buffer);
+  const auto text = [&](const char* key, const std::string& value) { text::write_json(w, key, value); };
   w.StartObject();
   text("type", "about:blank");
   text("title", problem.title);
@@ -168,10 +166,8 @@
 std::string message_body(const std::string& message, const relay::MessageRegistry::Entry& e) {
   using State = relay::MessageRegistry::Entry::State;
   rapidjson::StringBuffer buffer;
-  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
-  const auto text = [&](const char* key, const std::string& value) {
-    w.Key(key), w.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-  };
+  text::JsonWriter w(buffer);
+  const auto text = [&](const char* key, const std::string& value) { text::write_json(w, key, value); };
   w.StartObject();
   text("message", message);
   text("class", e.message_class);
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -1,10 +1,9 @@
 #include "journal/records.hpp"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <xxhash.h>
 
 #include "journal/records.pb.h"
+#include "text/text.hpp"
 
 namespace cedarplank::journal {
 namespace {
@@ -76,14 +75,13 @@
   return r;
 }
 
-using Json = rapidjson::Writer<rapidjson::StringBuffer>;
+using Json = text::JsonWriter;
 
 // Visitor that writes a record as members of a JSON object. Empty texts are left out.
 struct JsonPrinter {
   Json& json;
   void text(const char* key, const std::string& value) const {
-    if (value.empty()) return;
-    json.Key(key), json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+    if (!value.empty()) text::write_json(json, key, value);
   }
   void number(const char* key, std::int64_t value) const { json.Key(key), json.Int64(value); }
   void kind(const char* name) const { json.Key("record"), json.String(name); }
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/semantics.hpp"
 #include "platform/startup.hpp"
+#include "text/text.hpp"
 
 namespace cedarplank::platform {
 namespace {
@@ -195,7 +196,7 @@
   SubmittedMessage in;
   if (const auto unfit = read_request(request, config_.names, in)) {
     const auto* name = request.find("x-call-id");
-    const auto told = name == nullptr ? std::string("-") : name->substr(0, kMaxLoggedIdBytes);
+    const auto told = name == nullptr ? std::string("-") : text::to_printable(*name, kMaxLoggedIdBytes);
     return reject(client, told, unfit->status, unfit->why);
   }
   const auto fingerprint = fingerprint_of(in.message);
--- a/src/platform/semantics.cpp
+++ b/src/platform/semantics.cpp
@@ -7,11 +7,14 @@
 #include <algorithm>
 #include <map>
 
+#include "text/text.hpp"
+
 namespace cedarplank::platform {
 namespace {
 
 constexpr std::size_t kMaxIdBytes = 128;     // bytes
 constexpr Time kMaxBudget = 86'400'000'000;  // one day
+constexpr std::size_t kMaxResultBytes = 64;  // of a bulk answer's line, for logs and records
 
 // Whether the text is one word: ids and keys stand in the lines of bulk calls, separated by spaces.
 bool is_word(const std::string& text) {
@@ -227,7 +230,7 @@
     relay::CallResult e = all;
     const auto it = ends.find(id);
     const auto end = it == ends.end() ? std::string_view("no end told") : it->second;
-    e.detail = end;
+    e.detail = text::to_printable(end, kMaxResultBytes);
     if (end == "ok")
       e.outcome = Outcome::served;
     else if (end == "later")
--- a/src/record/wire_capture.cpp
+++ b/src/record/wire_capture.cpp
@@ -1,11 +1,11 @@
 #include "record/wire_capture.hpp"
 
 #include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 
 #include <stdexcept>
 
+#include "text/text.hpp"
+
 namespace cedarplank::record {
 namespace {
 
@@ -37,10 +37,8 @@
 
 std::string to_json(const CaptureRecord& r) {
   rapidjson::StringBuffer buffer;
-  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
-  const auto text = [&](const char* key, const std::string& v) {
-    w.Key(key), w.String(v.data(), static_cast<rapidjson::SizeType>(v.size()));
-  };
+  text::JsonWriter w(buffer);
+  const auto text = [&](const char* key, const std::string& value) { text::write_json(w, key, value); };
   w.StartObject();
   w.Key("at"), w.Int64(r.at);
   w.Key("side"), w.String(r.side == CaptureRecord::Side::client ? "client" : "endpoint");
--- a/src/trace/json.cpp
+++ b/src/trace/json.cpp
@@ -1,20 +1,19 @@
 #include "trace/json.hpp"
 
 #include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 
 #include <cmath>
 #include <stdexcept>
 
+#include "text/text.hpp"
+
 namespace cedarplank::trace {
 namespace {
 
-using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+using Writer = text::JsonWriter;
 
 void text(Writer& w, const char* key, const std::string& value) {
-  if (value.empty()) return;
-  w.Key(key), w.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  if (!value.empty()) text::write_json(w, key, value);
 }
 
 void write(Writer& w, const Step& s, Time from) {
