--- a/app/journal.cpp
+++ b/app/journal.cpp
@@ -38,9 +38,9 @@
   Contents r;
   r.log = store::inspect(files, [&](store::Sequence s, std::string_view bytes) {
     journal::Record record;
-    const auto why = journal::decode(bytes, record);
-    if (!why.empty()) {
-      if (r.bad.empty()) r.bad = "record " + std::to_string(s) + " " + why;
+    const auto result = journal::decode(bytes, record);
+    if (!result.ok()) {
+      if (r.bad.empty()) r.bad = "record " + std::to_string(s) + " " + result.problem;
       return;
     }
     r.image.apply(s, record);
@@ -137,7 +137,7 @@
   std::uint64_t not_decoded = 0, n = 0;
   const auto salvaged = store::salvage(*files, [&](store::Sequence, std::string_view bytes) {
     journal::Record record;
-    if (!journal::decode(bytes, record).empty()) {
+    if (!journal::decode(bytes, record).ok()) {
       not_decoded++;
       return;
     }
--- a/bench/journal_bench.cpp
+++ b/bench/journal_bench.cpp
@@ -58,7 +58,7 @@
     StateImage image;
     log.open([&](store::Sequence s, std::string_view bytes) {
       Record r;
-      if (!decode(bytes, r).empty()) throw std::runtime_error("decode");
+      if (!decode(bytes, r).ok()) throw std::runtime_error("decode");
       image.apply(s, r);
     });
     const auto found = recover(image, 10,
--- a/fuzz/journal_fuzz.cpp
+++ b/fuzz/journal_fuzz.cpp
@@ -53,11 +53,11 @@
   for (std::string_view rest = all; rest.size() > 1;) {
     const std::size_t n = std::min<std::size_t>(static_cast<unsigned char>(rest[0]), rest.size() - 1);
     journal::Record record, again;
-    if (journal::decode(rest.substr(1, n), record).empty()) {
+    if (journal::decode(rest.substr(1, n), record).ok()) {
       if (journal::to_json(record).empty()) std::abort();
       const auto bytes = journal::encode(record);
       const bool other = std::holds_alternative<journal::record::Unknown>(record.what);
-      if (!other && (!journal::decode(bytes, again).empty() || journal::encode(again) != bytes)) std::abort();
+      if (!other && (!journal::decode(bytes, again).ok() || journal::encode(again) != bytes)) std::abort();
       image.apply(next++, record);
       if (image.oldest_needed() >= next) std::abort();
       if (image.oldest_needed() != 0) journal::encode(image.oldest_item_record(1));
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -29,7 +29,8 @@
     p.set_topic(m.topic), p.set_content_type(m.content_type), p.set_content_encoding(m.content_encoding);
     p.set_urgency(m.urgency), p.set_recipient(m.recipient), p.set_sender(m.sender), p.set_body(m.body);
     p.set_deadline(r.deadline), p.set_owner(m.owner), p.set_attempts(r.attempts), p.set_ran(r.ran);
-    p.set_ran_zone(r.ran_zone), p.set_ran_at(r.ran_at), p.set_last(r.last);
+    p.set_ran_zone(r.ran_zone), p.set_ran_at(r.ran_at);
+    p.set_last(r.last);
     for (const auto& a : r.out) to_pb(*p.add_out(), a);
   }
   void operator()(const record::Sending& r) const {
@@ -38,7 +39,8 @@
   }
   void operator()(const record::Ended& r) const {
     auto& p = *to.mutable_ended();
-    p.set_id(r.id), p.set_attempt(r.attempt), p.set_unrun(r.unrun), p.set_what(r.what);
+    p.set_id(r.id), p.set_attempt(r.attempt), p.set_unrun(r.unrun);
+    p.set_what(r.what);
   }
   void operator()(const record::Answered& r) const {
     auto& p = *to.mutable_answered();
@@ -135,6 +137,23 @@
   void operator()(const record::Unknown&) const { kind("of a later version"); }
 };
 
+MessageId message_id_of(const pb::Record& p) {
+  switch (p.what_case()) {
+    case pb::Record::kTaken:
+      return p.taken().id();
+    case pb::Record::kSending:
+      return p.sending().id();
+    case pb::Record::kEnded:
+      return p.ended().id();
+    case pb::Record::kAnswered:
+      return p.answered().id();
+    case pb::Record::kGone:
+      return p.gone().id();
+    default:
+      return 0;
+  }
+}
+
 }  // namespace
 
 std::string encode(const Record& r) {
@@ -144,12 +163,17 @@
   return p.SerializeAsString();
 }
 
-std::string decode(std::string_view bytes, Record& record) {
+DecodeResult decode(std::string_view bytes, Record& record) {
+  using Status = DecodeResult::Status;
   pb::Record p;
-  if (!p.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return "can't be decoded";
+  // What was read before the place that can't be read is kept.
+  if (!p.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return {Status::malformed, "can't be decoded", message_id_of(p)};
   if (p.least_reader() > kReaderVersion)
-    return "needs a program that reads version " + std::to_string(p.least_reader()) + "; this one reads " +
-           std::to_string(kReaderVersion);
+    return {Status::newer_version,
+            "needs a program that reads version " + std::to_string(p.least_reader()) + "; this one reads " +
+                std::to_string(kReaderVersion),
+            message_id_of(p)};
   record.at = p.at();
   switch (p.what_case()) {
     case pb::Record::kBase: {
@@ -168,7 +192,8 @@
       return {};
     case pb::Record::kAnswered: {
       const auto& a = p.answered();
-      if (a.verdict() < 0 || a.verdict() > 2) return "has an unknown answer value";
+      if (a.verdict() < 0 || a.verdict() > 2)
+        return {Status::malformed, "has an unknown answer value", a.id()};
       record.what = record::Answered{a.id(),
                                      static_cast<record::Verdict>(a.verdict()),
                                      a.come_back(),
@@ -192,7 +217,8 @@
       record.what = record::Told{p.told().endpoint(), p.told().until()};
       return {};
     case pb::Record::kSeen:
-      if (p.seen().health() < 0 || p.seen().health() > 2) return "has an unknown health value";
+      if (p.seen().health() < 0 || p.seen().health() > 2)
+        return {Status::malformed, "has an unknown health value"};
       record.what = record::Seen{p.seen().endpoint(), static_cast<action::Health>(p.seen().health()),
                                  p.seen().since(), p.seen().usual_rate()};
       return {};
--- a/src/journal/records.hpp
+++ b/src/journal/records.hpp
@@ -114,9 +114,20 @@
       what;
 };
 
+// Whatever octets a record's texts hold, decode() can read what this returns.
 std::string encode(const Record& record);
-// Returns an empty string on success, otherwise the reason why the record can't be read.
-std::string decode(std::string_view bytes, Record& record);
+
+struct DecodeResult {
+  enum class Status {
+    ok,
+    malformed,
+    newer_version  // a later version wrote it, and it must not be skipped
+  } status = Status::ok;
+  std::string problem;    // why it can't be read
+  MessageId message = 0;  // the message that it is about, as far as that could be read
+  bool ok() const { return status == Status::ok; }
+};
+DecodeResult decode(std::string_view bytes, Record& record);
 
 // Equal for requests with the same destination, class and body. Distinguishes a repeat from a different
 // message sent under the same idempotency key.
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -41,17 +41,12 @@
       std::move(files), writer_settings(j), settings.seed ^ static_cast<std::uint64_t>(clock_now().wall),
       store::Writer::Ports{.post = [this](std::function<void()> f) { loop_.post(std::move(f)); },
                            .on_change = [this] { writer_changed(); }});
-  std::string bad;
-  const auto opened = writer_->open([&](store::Sequence s, std::string_view bytes) {
-    journal::Record r;
-    const auto why = journal::decode(bytes, r);
-    if (!why.empty() && bad.empty()) bad = "record " + std::to_string(s) + " " + why;
-    if (why.empty()) image_.apply(s, r);
-    records_read_.emplace_back(s, bytes.size());
-  });
-  if (opened.problem) bad = opened.problem->text;
+  const auto opened =
+      writer_->open([&](store::Sequence s, std::string_view bytes) { reader_.read(s, bytes); });
+  const std::string bad = opened.problem ? opened.problem->text : reader_.newer_version();
   if (!bad.empty())
     throw std::runtime_error("journal: " + j.folder + ": " + bad + "; see `cedarplank journal verify`");
+  for (const auto& problem : reader_.problems()) log_(problem + "; left out");
   if (opened.torn_bytes > 0)
     log_("a torn tail of " + std::to_string(opened.torn_bytes) +
          " bytes was cut: written when the last run ended");
@@ -75,7 +70,7 @@
   k.window_bytes = static_cast<std::uint64_t>(j.disk_max) / 4;
   k.answers_bytes_max = static_cast<std::size_t>(j.disk_max) / 8;
   coordinator_ = std::make_unique<journal::JournalCoordinator>(
-      std::move(k), std::move(image_),
+      std::move(k), reader_.take_image(),
       journal::JournalCoordinator::Ports{
           .transport = ports.transport,
           .answers = ports.answers,
@@ -87,9 +82,10 @@
               [this, unsent = std::move(ports.unsent)](relay::CallId call, relay::CallResult ending) {
                 loop_.defer([unsent, call, ending] { unsent(call, ending); });
               }});
-  for (const auto& [sequence, bytes] : records_read_) coordinator_->count_existing_record(sequence, bytes);
-  record_count_ = records_read_.size();
-  records_read_ = {};
+  for (const auto& [sequence, bytes] : reader_.records())
+    coordinator_->count_existing_record(sequence, bytes);
+  record_count_ = reader_.records().size();
+  reader_ = {};
   return *coordinator_;
 }
 
--- a/src/node/journal.hpp
+++ b/src/node/journal.hpp
@@ -9,6 +9,7 @@
 
 #include "config/relay_settings.hpp"
 #include "journal/coordinator.hpp"
+#include "journal/record_reader.hpp"
 #include "journal/recovery.hpp"
 #include "loop/loop.hpp"
 #include "relay/message_registry.hpp"
@@ -21,8 +22,9 @@
 class Journal {
  public:
   using Log = std::function<void(const std::string&)>;
-  // Locks the folder and reads all records in it. Throws std::runtime_error naming the folder, the position
-  // and the cause if the folder is in use by another process, is damaged or was written by a later version.
+  // Locks the folder and reads all records in it; one that can't be decoded is logged and left out. Throws
+  // std::runtime_error naming the folder, the position and the cause if the folder is in use by another
+  // process, is damaged or was written by a later version.
   Journal(loop::Loop& loop, const config::RelaySettings& settings, Log log);
   ~Journal();
 
@@ -59,9 +61,7 @@
   loop::Loop& loop_;
   const config::RelaySettings& settings_;
   Log log_;
-  journal::StateImage image_;  // until connect()
-  std::vector<std::pair<journal::Sequence, std::size_t>>
-      records_read_;  // records and their bytes; until connect()
+  journal::RecordReader reader_;  // what the log holds; until connect()
   std::size_t record_count_ = 0;
   std::unique_ptr<store::Writer> writer_;
   std::unique_ptr<journal::JournalCoordinator> coordinator_;
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -100,28 +100,25 @@
 
 // Reads the whole log, damaged or not. Throws std::system_error if the system can't read it now.
 void Journal::read_log(journal::StateImage& image) {
-  image = {}, records_read_.clear();
   const auto id = static_cast<std::uint64_t>(node::clock_now().wall);
   log_ = std::make_unique<store::Log>(*files_, log_settings_, id);
-  std::string damage;
-  const auto opened = log_->open([&](store::Sequence s, std::string_view bytes) {
-    journal::Record r;
-    const auto why = journal::decode(bytes, r);
-    if (why.empty())
-      image.apply(s, r);
-    else if (damage.empty())
-      damage = "record " + std::to_string(s) + " " + why;
-    records_read_.emplace_back(s, bytes.size());
-  });
+  journal::RecordReader reader;
+  const auto opened = log_->open([&](store::Sequence s, std::string_view bytes) { reader.read(s, bytes); });
   if (opened.torn_bytes > 0)
     log_line_(
         std::to_string(opened.torn_bytes) +
         " bytes after the last record cleared: an unfinished commit, or left from the segment's earlier use");
   if (opened.problem) {
     fail_if_unreadable(*opened.problem);
-    damage = opened.problem->text;
+    return salvage(image, opened.problem->text);
   }
-  if (!damage.empty()) salvage(image, damage);
+  log_unreadable(reader);
+  records_read_ = reader.records();
+  image = reader.take_image();
+}
+
+void Journal::log_unreadable(const journal::RecordReader& reader) {
+  for (const auto& problem : reader.problems()) log_line_(problem + "; left out");
 }
 
 // Guards against a damaged journal that would keep the relay from starting: the state that can be read is
@@ -129,15 +126,14 @@
 // relay restarts before then, the journal is read with the same result, since later records of a message take
 // precedence over earlier ones. Throws std::system_error if the system can't read a segment now.
 void Journal::salvage(journal::StateImage& image, const std::string& problem) {
-  image = {}, records_read_.clear();
+  records_read_.clear();
+  journal::RecordReader reader;
   const auto found = store::salvage(
-      *files_,
-      [&](store::Sequence s, std::string_view bytes) {
-        journal::Record r;
-        if (journal::decode(bytes, r).empty()) image.apply(s, r);
-      },
+      *files_, [&](store::Sequence s, std::string_view bytes) { reader.read(s, bytes); },
       store::UnreadableSegments::problem);
   if (found.problem) fail_if_unreadable(*found.problem);
+  log_unreadable(reader);
+  image = reader.take_image();
   log_line_("damaged: " + problem + "; " + std::to_string(found.records) + " records could be read, " +
             std::to_string(found.lost_ranges.size()) + " gaps; " + std::to_string(image.held().size()) +
             " messages are recovered");
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "journal/coordinator.hpp"
+#include "journal/record_reader.hpp"
 #include "journal/recovery.hpp"
 #include "loop/loop.hpp"
 #include "store/log.hpp"
@@ -79,6 +80,7 @@
   void read_log(journal::StateImage& image);
   // Rewrites the readable records of a damaged log; `problem` is logged.
   void salvage(journal::StateImage& image, const std::string& problem);
+  void log_unreadable(const journal::RecordReader& reader);
   // Appends a record and returns its sequence number; 0 if the log can't hold it.
   journal::Sequence append(std::string bytes);
   // Writes the overflow to the log, as far as it has space, and commits it.
--- a/tests/journal_crash_test.cpp
+++ b/tests/journal_crash_test.cpp
@@ -64,7 +64,7 @@
     journal::StateImage image;
     const auto opened = log_.open([&](store::Sequence s, std::string_view bytes) {
       journal::Record r;
-      EXPECT_EQ(journal::decode(bytes, r), "");
+      EXPECT_TRUE(journal::decode(bytes, r).ok());
       image.apply(s, r);
     });
     EXPECT_FALSE(opened.problem) << opened.problem->text;
--- a/tests/journal_model_test.cpp
+++ b/tests/journal_model_test.cpp
@@ -253,7 +253,7 @@
     journal::StateImage image;
     for (std::size_t i = 0; i < log_.size(); i++) {
       journal::Record r;
-      EXPECT_EQ(journal::decode(log_[i], r), "");
+      EXPECT_TRUE(journal::decode(log_[i], r).ok());
       image.apply(i + 1, r);
     }
     journal::JournalCoordinatorSettings settings;
--- a/tests/journal_service_test.cpp
+++ b/tests/journal_service_test.cpp
@@ -117,6 +117,29 @@
   EXPECT_EQ(s.effects_of("out"), 1u);
 }
 
+// Guards against one client's field that keeps the relay from starting, with all that other clients have
+// handed in.
+TEST_F(JournalService, AnyOctetsOfAClientsFieldsAreReadAtTheNextStart) {
+  auto& d = s.add("bank", 1);
+  start();
+  d.endpoints()[0]->begin({.fault = standin::Fault::pause});
+  const std::string octets = "text/\xff\xfe\x9c";
+  int n = 0;
+  for (const char* field : {"content-type", "content-encoding", "urgency", "idempotency-key"}) {
+    const auto id = "id=o" + std::to_string(++n) + ";class=status;";
+    const auto stream =
+        client->push("/push/bank/status", id, {{"ttl", "10"}, {"prefer", "respond-async"}, {field, octets}});
+    EXPECT_EQ(answer(stream), "202") << field;
+  }
+  EXPECT_EQ(answer(push("/push/bank/status", "id=other;class=status;", "", true)), "202");
+  d.endpoints()[0]->end(standin::Fault::pause);
+  restart();
+  EXPECT_TRUE(logged("5 messages held"));
+  run_until(s.loop, [&] { return s.effects_of("other") >= 1 && s.effects_of("o4") >= 1; });
+  EXPECT_GE(s.effects_of("other"), 1u);
+  for (int i = 1; i <= n; i++) EXPECT_GE(s.effects_of("o" + std::to_string(i)), 1u) << i;
+}
+
 TEST_F(JournalService, AToldWaitHoldsAcrossAStart) {
   auto& d = s.add("bank", 2);
   start();
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -51,7 +51,7 @@
   StateImage later;
   Record anew;
   const auto bytes = encode({40, image.delivered_answers().at(7).as_record(7)});
-  ASSERT_EQ(decode(bytes, anew), "");
+  ASSERT_TRUE(decode(bytes, anew).ok());
   later.apply(1, anew);
   ASSERT_EQ(later.delivered_answers().count(7), 1u);
   EXPECT_EQ(later.delivered_answers().at(7).owner, "o");
@@ -126,7 +126,7 @@
     for (const Sequence from = next; image.oldest_needed() < from;) {
       const auto r = image.oldest_item_record(400);
       Record again;
-      ASSERT_EQ(decode(encode(r), again), "");
+      ASSERT_TRUE(decode(encode(r), again).ok());
       image.apply(next, r), later.apply(next, again), next++;
     }
     EXPECT_EQ(text_of(image), before);
@@ -155,10 +155,11 @@
 
 TEST(Records, ALaterVersionsAreRefusedOrPassedOverAsTheySay) {
   Record r;
-  EXPECT_EQ(decode(std::string("\x10\x02", 2), r).substr(0, 5), "needs");  // least_reader 2
-  EXPECT_EQ(decode(std::string("\xa2\x06\x00", 3), r), "");                // an unknown kind
+  EXPECT_EQ(decode(std::string("\x10\x02", 2), r).status,
+            DecodeResult::Status::newer_version);               // least_reader 2
+  EXPECT_TRUE(decode(std::string("\xa2\x06\x00", 3), r).ok());  // an unknown kind
   EXPECT_TRUE(std::holds_alternative<record::Unknown>(r.what));
-  EXPECT_NE(decode("\xff\xff", r), "");
+  EXPECT_EQ(decode("\xff\xff", r).status, DecodeResult::Status::malformed);
 }
 
 // A writer on a faulty folder, with until() acting as the owner's thread.
