--- a/src/journal/coordinator.cpp
+++ b/src/journal/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "journal/coordinator.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "journal/recovery.hpp"
 
@@ -9,6 +10,11 @@
 
 constexpr std::uint64_t kBytesPerMark = 64 * 1024;  // bytes between two entries of byte_marks_
 
+std::string describe(const Record& record) {
+  const auto id = message_id_of(record);
+  return "record '" + kind_of(record) + "'" + (id == 0 ? "" : " of message " + std::to_string(id));
+}
+
 }  // namespace
 
 JournalCoordinator::JournalCoordinator(JournalCoordinatorSettings settings, StateImage image, Ports ports,
@@ -18,6 +24,13 @@
 Sequence JournalCoordinator::write_record(Record record) {
   std::string bytes;
   if (!failed_) bytes = encode(record);
+  if (bytes.size() <= settings_.record_bytes_max) return append_record(record, std::move(bytes));
+  ports_.log(describe(record) + " of " + std::to_string(bytes.size()) +
+             " bytes is larger than a record may be, and is not written");
+  return 0;
+}
+
+Sequence JournalCoordinator::append_record(const Record& record, std::string bytes) {
   const std::size_t size = bytes.size();
   const Sequence s = failed_ ? 0 : ports_.append(std::move(bytes));
   last_sequence_ = s != 0 ? s : last_sequence_ + 1;
@@ -77,7 +90,7 @@
 void JournalCoordinator::deliver_overdue_answers(Time now) {
   std::vector<std::function<void()>> overdue;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    const bool late = it->second.kind == WaitingAction::Kind::notification && it->second.deadline != 0 &&
+    const bool late = it->second.kind == WaitingAction::Kind::answer && it->second.deadline != 0 &&
                       it->second.deadline <= now;
     if (late) overdue.push_back(std::move(it->second.run));
     it = late ? waiting_.erase(it) : std::next(it);
@@ -91,7 +104,7 @@
   auto waiting = std::move(waiting_);
   waiting_.clear(), held_back_calls_.clear(), endpoint_by_call_.clear();
   for (auto& [s, w] : waiting) {
-    if (w.kind == WaitingAction::Kind::notification)
+    if (w.kind == WaitingAction::Kind::answer)
       w.run();
     else if (w.kind == WaitingAction::Kind::call)
       ports_.call_dropped(w.call, {Outcome::not_sent, 0, {}, "the journal can't be written", {}});
@@ -114,14 +127,29 @@
   r.destination = ports_.destination_name(message->destination);
   r.message_class = settings_.class_names[static_cast<std::size_t>(message->message_class)];
   if (message->tenant >= 0) r.tenant = settings_.tenant_names[static_cast<std::size_t>(message->tenant)];
-  write_record({now_, std::move(r)});
+  if (write_record({now_, std::move(r)}) == 0) unrecorded_.insert(id);
 }
 
-void JournalCoordinator::when_durable(MessageId id, std::function<void()> then) {
+bool JournalCoordinator::may_record(const relay::NewMessage& message) const {
+  std::size_t names = ports_.destination_name(message.destination).size();
+  names += settings_.class_names[static_cast<std::size_t>(message.message_class)].size();
+  if (message.tenant >= 0) names += settings_.tenant_names[static_cast<std::size_t>(message.tenant)].size();
+  return max_record_bytes(message, names) <= settings_.record_bytes_max;
+}
+
+JournalCoordinator::AcceptanceRecord JournalCoordinator::acceptance_record(MessageId id) const {
+  if (unrecorded_.count(id) > 0) return AcceptanceRecord::rejected;
   const auto it = image_.held().find(id);
-  const Sequence s = it == image_.held().end() ? 0 : it->second.needed_from;
-  if (!waits_.acknowledgement || failed_ || stalled_ || s <= durable_) return then();
-  wait_until_durable(s, {WaitingAction::Kind::notification, 0, std::move(then), 0});
+  if (it == image_.held().end() || it->second.needed_from <= durable_) return AcceptanceRecord::durable;
+  return failed_ ? AcceptanceRecord::rejected : AcceptanceRecord::pending;
+}
+
+void JournalCoordinator::when_durable(MessageId id, std::function<void()> then) {
+  const auto record = acceptance_record(id);
+  if (record == AcceptanceRecord::rejected) return;
+  if (record == AcceptanceRecord::durable || !waits_.acknowledgement) return then();
+  wait_until_durable(image_.held().at(id).needed_from,
+                     {WaitingAction::Kind::acknowledgement, 0, std::move(then), 0});
 }
 
 void JournalCoordinator::send(const relay::OutgoingCall& call) {
@@ -153,7 +181,7 @@
 }
 
 void JournalCoordinator::message_withdrawn(MessageId id) {
-  answers_to_keep_.erase(id);
+  answers_to_keep_.erase(id), unrecorded_.erase(id);
   write_record({now_, record::Gone{id}});
 }
 
@@ -205,13 +233,14 @@
     r.idempotency_key = m.message->idempotency_key;
     r.fingerprint = fingerprint(m.destination, m.message_class, *m.message);
   }
+  unrecorded_.erase(id);
   const bool keep = answers_to_keep_.erase(id) > 0;
   if (keep || !r.idempotency_key.empty() || !r.owner.empty()) r.until = now_ + settings_.answers_for;
   if (settings_.delivered_answers_for > 0 && !r.owner.empty())
     r.remember = now_ + settings_.delivered_answers_for;
   const Sequence s = write_record({now_, std::move(r)});
   if (s == 0 || stalled_ || !waits_.answers) return deliver();
-  wait_until_durable(s, {WaitingAction::Kind::notification, 0, std::move(deliver), due});
+  wait_until_durable(s, {WaitingAction::Kind::answer, 0, std::move(deliver), due});
 }
 
 void JournalCoordinator::served(MessageId id, const relay::CallResult& ending) {
@@ -244,6 +273,21 @@
 
 // ---- compaction ----
 
+// The old records are released for the new one. Guards against one that takes their place and can't be read,
+// or was never written: the old ones stay until their item has ended.
+bool JournalCoordinator::rewrite_oldest_item() {
+  const Record record = image_.oldest_item_record(now_);
+  std::string bytes = encode(record);
+  Record read_back;
+  const auto result = decode(bytes, read_back);
+  if (result.ok() && bytes.size() <= settings_.record_bytes_max)
+    return append_record(record, std::move(bytes)) != 0;
+  if (std::exchange(unwritable_, image_.oldest_needed()) != image_.oldest_needed())
+    ports_.log(describe(record) + " of " + std::to_string(bytes.size()) + " bytes can't be rewritten" +
+               (result.ok() ? "" : ": " + result.problem) + "; the earlier records are kept");
+  return false;
+}
+
 bool JournalCoordinator::compact(Time now, std::size_t max_items, bool low_on_space) {
   set_time(now);
   std::size_t done = 0;
@@ -271,8 +315,10 @@
       rewrite_before_ = last_sequence_ + 1;
   }
   keep_from = std::max(keep_from, rewrite_before_);
-  while (done < max_items && !failed_ && image_.oldest_needed() != 0 && image_.oldest_needed() < keep_from)
-    write_record(image_.oldest_item_record(now_)), done++;
+  while (done < max_items && !failed_ && image_.oldest_needed() != 0 && image_.oldest_needed() < keep_from) {
+    if (!rewrite_oldest_item()) break;
+    done++;
+  }
   // Rewritten records must be durable before the old ones are released.
   const Sequence needed = image_.oldest_needed();
   if (needed > released_ + 1 && !failed_) {
--- a/src/journal/coordinator.hpp
+++ b/src/journal/coordinator.hpp
@@ -28,6 +28,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -49,6 +50,8 @@
   Time delivered_answers_for = 0;
   // Bytes of records. Items that still need older records are rewritten.
   std::uint64_t window_bytes = 512ull << 20;
+  // Bytes of one record. A larger one is not written, and what depends on it does not go on.
+  std::size_t record_bytes_max = std::numeric_limits<std::size_t>::max();
 };
 
 // Which actions wait for their record. All are on in production; tests switch single ones off to show what
@@ -73,6 +76,8 @@
     // A held-back call will never be sent. send() may call this, so the core must be informed later, outside
     // of its own round.
     std::function<void(relay::CallId, relay::CallResult)> call_dropped;
+    // A record can't be written, and why.
+    std::function<void(const std::string&)> log = [](const std::string&) {};
   };
   JournalCoordinator(JournalCoordinatorSettings settings, StateImage image, Ports ports,
                      DurabilityWaits waits = {});
@@ -86,10 +91,12 @@
   void write_base(const record::Base& base, Time now);
   // All records up to this one are durable. Runs what waited for them.
   void mark_durable(Sequence upto);
-  // The journal accepts no more records. From now on answers are given without it. Attempts whose repeat may
-  // do harm are no longer sent, because nobody would know of them after a crash.
+  // The journal accepts no more records. From now on answers are given without it. Acknowledgements that wait
+  // are never given, and attempts whose repeat may do harm are no longer sent, because nobody would know of
+  // them after a crash.
   void fail(const std::string& why);
-  // Nothing becomes durable for now, but it may later. Acts as fail() does, but records are still written.
+  // Nothing becomes durable for now, but it may later. Acts as fail() does, but records are still written,
+  // and acknowledgements wait for theirs.
   void set_stalled(bool stalled);
   bool failed() const { return failed_; }
   // While nothing becomes durable: gives the answers of messages past their deadline without waiting for
@@ -106,8 +113,17 @@
   // True when nothing waits for the journal.
   bool is_idle() const { return waiting_.empty(); }
 
+  // Whether the record of this message can be written, whatever happens to its attempts later.
+  bool may_record(const relay::NewMessage& message) const;
+  // The record that a message was accepted.
+  enum class AcceptanceRecord {
+    pending,  // not durable yet
+    durable,  // durable, or the message is not held
+    rejected  // there is none, and won't be: the message must not be acknowledged
+  };
+  AcceptanceRecord acceptance_record(MessageId id) const;
   // Runs `then` when the record that the message was accepted is durable; at once if it already is, or if the
-  // message is not held.
+  // message is not held. Never runs it if the record is rejected or the journal fails before.
   void when_durable(MessageId id, std::function<void()> then);
   // The answer of this message is to be kept even if it has no idempotency key, for later requests.
   void keep_answer(MessageId id) {
@@ -151,19 +167,21 @@
  private:
   // An action that waits for a record to be durable.
   struct WaitingAction {
-    enum class Kind {
-      notification,
-      call,
-      release
-    } kind = Kind::notification;  // notification: an answer or acknowledgement
+    enum class Kind { answer, acknowledgement, call, release } kind = Kind::answer;
     relay::CallId call = 0;
     std::function<void()> run;
     Time deadline = 0;  // deadline of the message, for an answer; 0: none
   };
-  // Encodes, appends and applies the record. Returns its number, or 0 once the journal has failed.
+  // Encodes, appends and applies the record. Returns its number; 0 if the journal has failed, or if the
+  // record is too large, in which case it is not applied either.
   Sequence write_record(Record record);
+  // Appends and applies a record that is encoded already. Returns as write_record() does.
+  Sequence append_record(const Record& record, std::string bytes);
+  // Writes the item that needs the oldest record anew, if that can be read back. Returns whether it did.
+  bool rewrite_oldest_item();
   void count_bytes(Sequence sequence, std::size_t bytes);
-  // Ends all waiting when the journal fails or stalls: answers are given, calls are refused.
+  // Ends all waiting when the journal fails or stalls: answers are given, calls are refused. Acknowledgements
+  // are dropped, or go on waiting while it stalls.
   void end_waiting();
   void record_answer(MessageId id, record::Verdict verdict, Time come_back,
                      const relay::AttemptSummary& account, std::function<void()> hand_over);
@@ -181,10 +199,12 @@
       held_back_calls_;                                        // calls in `waiting_`
   std::map<relay::CallId, EndpointId> endpoint_by_call_;       // of those calls
   std::set<MessageId> answers_to_keep_;                        // their answers are kept
+  std::set<MessageId> unrecorded_;                             // accepted messages whose record was rejected
   std::deque<std::pair<Sequence, std::uint64_t>> byte_marks_;  // samples of `bytes_written_` by record
   std::uint64_t bytes_written_ = 0;
   Sequence durable_ = 0, released_ = 0, last_sequence_ = 0;
   Sequence rewrite_before_ = 0;  // when low on space: items that need earlier records are rewritten
+  Sequence unwritable_ = 0;      // the oldest needed record, if it was reported that it can't be rewritten
   std::string failure_reason_;
   Time now_ = 0;
   bool failed_ = false, stalled_ = false;
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -8,8 +8,15 @@
 namespace cedarplank::journal {
 namespace {
 
+// Tags, lengths and numbers of a record, beside its texts and its body.
+constexpr std::size_t kMaxFixedBytes = 256;
+constexpr std::size_t kMaxAttemptBytes = kMaxAttemptEndpointBytes + 48;
+
+std::string bounded_outcome(const std::string& outcome) { return outcome.substr(0, kMaxOutcomeBytes); }
+
 void to_pb(pb::Attempt& to, const Attempt& a) {
-  to.set_number(a.number), to.set_endpoint(a.endpoint), to.set_zone(a.zone), to.set_at(a.at);
+  to.set_number(a.number), to.set_zone(a.zone), to.set_at(a.at);
+  to.set_endpoint(a.endpoint.substr(0, kMaxAttemptEndpointBytes));
 }
 Attempt from_pb(const pb::Attempt& a) { return {a.number(), a.endpoint(), a.zone(), a.at()}; }
 
@@ -30,7 +37,7 @@
     p.set_urgency(m.urgency), p.set_recipient(m.recipient), p.set_sender(m.sender), p.set_body(m.body);
     p.set_deadline(r.deadline), p.set_owner(m.owner), p.set_attempts(r.attempts), p.set_ran(r.ran);
     p.set_ran_zone(r.ran_zone), p.set_ran_at(r.ran_at);
-    p.set_last(r.last);
+    p.set_last(bounded_outcome(r.last));
     for (const auto& a : r.out) to_pb(*p.add_out(), a);
   }
   void operator()(const record::Sending& r) const {
@@ -40,13 +47,13 @@
   void operator()(const record::Ended& r) const {
     auto& p = *to.mutable_ended();
     p.set_id(r.id), p.set_attempt(r.attempt), p.set_unrun(r.unrun);
-    p.set_what(r.what);
+    p.set_what(bounded_outcome(r.what));
   }
   void operator()(const record::Answered& r) const {
     auto& p = *to.mutable_answered();
     p.set_id(r.id), p.set_verdict(static_cast<pb::Answered::Verdict>(r.verdict));
     p.set_come_back(r.come_back), p.set_message_class(r.message_class), p.set_attempts(r.attempts);
-    p.set_last(r.last), p.set_destination(r.destination), p.set_tenant(r.tenant);
+    p.set_last(bounded_outcome(r.last)), p.set_destination(r.destination), p.set_tenant(r.tenant);
     p.set_idempotency_key(r.idempotency_key), p.set_owner(r.owner), p.set_fingerprint(r.fingerprint);
     p.set_until(r.until), p.set_remember(r.remember), p.set_handed_over(r.handed_over);
   }
@@ -229,6 +236,15 @@
   return {};
 }
 
+std::size_t max_record_bytes(const relay::NewMessage& message, std::size_t names) {
+  const std::size_t texts = message.order_key.size() + message.idempotency_key.size() + message.topic.size() +
+                            message.content_type.size() + message.content_encoding.size() +
+                            message.urgency.size() + message.recipient.size() + message.sender.size() +
+                            message.owner.size();
+  return kMaxFixedBytes + names + texts + message.body.size() + kMaxOutcomeBytes +
+         kMaxOpenAttempts * kMaxAttemptBytes;
+}
+
 std::uint64_t fingerprint(const std::string& destination, const std::string& message_class,
                           const relay::NewMessage& message) {
   std::uint64_t h = XXH3_64bits(destination.data(), destination.size());
--- a/src/journal/records.hpp
+++ b/src/journal/records.hpp
@@ -17,10 +17,16 @@
 
 constexpr std::uint32_t kReaderVersion = 1;  // highest Record.least_reader that this program can read
 
+// Bounds on what the record of a message may grow by after the message was accepted. Outcomes, and the names
+// of attempts' endpoints, are only shown to people: they are cut when they are encoded.
+constexpr std::size_t kMaxOutcomeBytes = 256;
+constexpr std::size_t kMaxAttemptEndpointBytes = 256;
+constexpr std::size_t kMaxOpenAttempts = 8;  // whose outcome is not known yet; see StateImage
+
 // One attempt to deliver a message to an endpoint.
 struct Attempt {
   int number = 0;
-  EndpointId endpoint;
+  EndpointId endpoint;  // for people
   int zone = 0;
   Time at = 0;
 };
@@ -129,6 +135,10 @@
 };
 DecodeResult decode(std::string_view bytes, Record& record);
 
+// The most bytes that the record of this message can come to, whatever happens to its attempts. `names`: the
+// bytes of the names of its destination, class and tenant together.
+std::size_t max_record_bytes(const relay::NewMessage& message, std::size_t names);
+
 // Equal for requests with the same destination, class and body. Distinguishes a repeat from a different
 // message sent under the same idempotency key.
 std::uint64_t fingerprint(const std::string& destination, const std::string& message_class,
--- a/src/journal/state_image.cpp
+++ b/src/journal/state_image.cpp
@@ -13,6 +13,14 @@
 
 std::size_t size_of(const StateImage::DeliveredAnswer& end) { return 80 + end.owner.size(); }
 
+// The attempt may have taken effect.
+void note_run(record::Taken& message, const Attempt& attempt) {
+  if (message.ran && message.ran_at <= attempt.at) return;
+  message.ran = true;
+  message.ran_zone = attempt.zone;
+  message.ran_at = attempt.at;
+}
+
 std::size_t size_of(const relay::NewMessage& m) {
   return 300 + m.body.size() + m.owner.size() + m.idempotency_key.size();
 }
@@ -71,6 +79,10 @@
   auto& m = it->second.state;
   m.attempts = std::max(m.attempts, r.attempt.number + 1);
   m.out.push_back(r.attempt);
+  if (m.out.size() <= kMaxOpenAttempts) return;
+  // Counts as one that may have run, which is what an outcome that is never known means.
+  note_run(m, m.out.front());
+  m.out.erase(m.out.begin());
 }
 
 void StateImage::on(Sequence, Time, const record::Ended& r) {
@@ -81,7 +93,7 @@
   const auto a =
       std::find_if(m.out.begin(), m.out.end(), [&](const auto& x) { return x.number == r.attempt; });
   if (a == m.out.end()) return;
-  if (!r.unrun && (!m.ran || a->at < m.ran_at)) m.ran = true, m.ran_zone = a->zone, m.ran_at = a->at;
+  if (!r.unrun) note_run(m, *a);
   m.out.erase(a);
 }
 
--- a/src/journal/state_image.hpp
+++ b/src/journal/state_image.hpp
@@ -21,7 +21,7 @@
  public:
   // A message without a final answer.
   struct Held {
-    record::Taken state;       // with the state of its attempts
+    record::Taken state;       // with the state of its attempts, at most kMaxOpenAttempts of them open
     Sequence needed_from = 0;  // the oldest record that is needed for it
   };
   // A final answer that is kept until it is delivered or its time is up.
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -69,6 +69,7 @@
   // Together within the half of the disk limit up to which the writer allows new messages: see store::Writer.
   k.window_bytes = static_cast<std::uint64_t>(j.disk_max) / 4;
   k.answers_bytes_max = static_cast<std::size_t>(j.disk_max) / 8;
+  k.record_bytes_max = writer_settings(j).log.record_size_max;
   coordinator_ = std::make_unique<journal::JournalCoordinator>(
       std::move(k), reader_.take_image(),
       journal::JournalCoordinator::Ports{
@@ -81,7 +82,8 @@
           .call_dropped =
               [this, unsent = std::move(ports.unsent)](relay::CallId call, relay::CallResult ending) {
                 loop_.defer([unsent, call, ending] { unsent(call, ending); });
-              }});
+              },
+          .log = log_});
   for (const auto& [sequence, bytes] : reader_.records())
     coordinator_->count_existing_record(sequence, bytes);
   record_count_ = reader_.records().size();
--- a/src/node/journal.hpp
+++ b/src/node/journal.hpp
@@ -51,6 +51,8 @@
   const store::Writer& writer() const { return *writer_; }
   // Why no further message may be accepted now; null if one may.
   const char* rejection_reason() const;
+  // Whether the record of this message is no larger than a record may be.
+  bool may_record(const relay::NewMessage& message) const { return coordinator_->may_record(message); }
   // All that was written is durable, and nothing waits for a record.
   bool settled() const { return coordinator_->is_idle(); }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -192,6 +192,10 @@
       return {relay::Core::AcceptStatus::unsupported, why};
     }
   }
+  if (journal_ && !journal_->may_record(message)) {
+    on_id(0);
+    return {relay::Core::AcceptStatus::unsupported, "the journal takes no record so large"};
+  }
   if (journal_)
     if (const char* why = journal_->rejection_reason()) {
       assembly_->core().count_rejected();
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -18,8 +18,7 @@
 constexpr std::uint64_t kTargetSegments = 24;
 constexpr std::size_t kSpareSegments = 1;
 constexpr std::uint64_t kMinFiles = 6;
-constexpr std::size_t kRecordOverhead = 2048;  // bytes of a message's record besides its body
-constexpr Time kRetryInterval = 20'000;        // while the folder can't be written
+constexpr Time kRetryInterval = 20'000;  // while the folder can't be written
 
 void fail_if_unreadable(const store::LogProblem& problem) {
   if (problem.kind == store::LogProblem::Kind::io)
@@ -56,6 +55,7 @@
   // finish messages already accepted.
   k.window_bytes = log_settings_.segment_size * log_settings_.segments_max / 4;
   k.answers_bytes_max = static_cast<std::size_t>(k.window_bytes / 2);
+  k.record_bytes_max = log_settings_.record_size_max;
   coordinator_ = std::make_unique<journal::JournalCoordinator>(
       std::move(k), std::move(image),
       journal::JournalCoordinator::Ports{
@@ -69,7 +69,8 @@
                 loop_.defer([weak = std::weak_ptr(alive_), unsent, call, ending] {
                   if (!weak.expired()) unsent(call, ending);
                 });
-              }});
+              },
+          .log = log_line_});
   for (const auto& [sequence, bytes] : records_read_) coordinator_->count_existing_record(sequence, bytes);
   records_read_ = {};
   timer_ = loop_.after(kTidyInterval, [this] { tidy(); });
@@ -169,10 +170,11 @@
       return number;
     case store::Log::AppendResult::no_space:
       return overflow_.push_back(std::move(bytes)), number;
-    case store::Log::AppendResult::too_large:
+    case store::Log::AppendResult::too_large:  // the coordinator writes none that is
     case store::Log::AppendResult::failed:
       break;
   }
+  log_line_("accepts no more records: new messages are refused, and the relay is not ready");
   return 0;
 }
 
@@ -223,9 +225,10 @@
   waiters_released_();
 }
 
-const char* Journal::rejection_reason(std::size_t body) const {
+const char* Journal::rejection_reason(const relay::NewMessage& message) const {
+  if (ended()) return "the journal accepts no more records";
   if (stalled()) return "the journal can't be written now";
-  if (body + kRecordOverhead > log_settings_.record_size_max) return "the journal takes no record so large";
+  if (!coordinator_->may_record(message)) return "the journal takes no record so large";
   const bool room = log_->segments() <= log_settings_.segments_max * 2 / 3 &&
                     image().approximate_bytes() < log_settings_.segment_size * log_settings_.segments_max / 3;
   return room ? nullptr : "the journal has no room now";
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -64,9 +64,11 @@
   void commit();
   // Whether the folder can't be written now, so that the latest records are not durable.
   bool stalled() const { return stalled_since_ != 0; }
-  // Why a message with a body of this size can't be accepted now; null: it can. A third of the space is
-  // reserved for the records that finish messages already accepted.
-  const char* rejection_reason(std::size_t body) const;
+  // Whether the log accepts no more records. What is held goes on, except what must not run twice.
+  bool ended() const { return coordinator_->failed(); }
+  // Why a message can't be accepted now; null: it can. A third of the space is reserved for the records that
+  // finish messages already accepted.
+  const char* rejection_reason(const relay::NewMessage& message) const;
   std::uint64_t bytes() const { return coordinator_->bytes_written(); }
   const Counts& counts() const { return counts_; }
 
@@ -81,7 +83,7 @@
   // Rewrites the readable records of a damaged log; `problem` is logged.
   void salvage(journal::StateImage& image, const std::string& problem);
   void log_unreadable(const journal::RecordReader& reader);
-  // Appends a record and returns its sequence number; 0 if the log can't hold it.
+  // Appends a record and returns its sequence number; 0 if the log accepts no more.
   journal::Sequence append(std::string bytes);
   // Writes the overflow to the log, as far as it has space, and commits it.
   std::error_code commit_log();
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -207,8 +207,14 @@
 
 void Relay::answer_health_check(ClientConnections::ConnectionId client, const http1::Message& request) {
   if (request.method != "GET") return reject(client, "-", 405, "only GET");
-  if (ready()) return clients_->answer(client, 200, {}, "ready\n");
-  reject(client, "-", 503, stopping_ ? "stopping" : "no list is known yet");
+  if (const char* why = unready_reason()) return reject(client, "-", 503, why);
+  clients_->answer(client, 200, {}, "ready\n");
+}
+
+const char* Relay::unready_reason() const {
+  if (stopping_) return "stopping";
+  if (!has_list_) return "no list is known yet";
+  return journal_->ended() ? "the journal accepts no more records" : nullptr;
 }
 
 void Relay::submit(ClientConnections::ConnectionId client, SubmittedMessage in, std::uint64_t fingerprint) {
@@ -218,7 +224,7 @@
   };
   if (core_->stopping()) return refuse("the relay is stopping");
   if (destinations_.count(in.message.destination) == 0) return refuse("no list has shown this destination");
-  if (const char* why = journal_->rejection_reason(in.message.body.size())) return refuse(why);
+  if (const char* why = journal_->rejection_reason(in.message)) return refuse(why);
   const MessageId id = next_id_;
   if (core_->accept(loop_.refresh_now(), id, std::move(in.message)) != relay::Core::AcceptStatus::accepted)
     return refuse("the relay holds all that it may");
@@ -308,14 +314,16 @@
 
 // A message is accepted once the dispatcher has decided on it and its record would survive the process.
 void Relay::acknowledge_accepted() {
+  using Record = journal::JournalCoordinator::AcceptanceRecord;
   auto waiting = std::move(unacknowledged_);
   unacknowledged_.clear();
   for (const auto& w : waiting) {
     if (!requests_.is_waiting(w.id)) continue;  // answered or cancelled meanwhile
     const bool undecided = w.round == core_->rounds() && !no_more_rounds_;
     // While the journal can't be written, part of the record may be on disk, so the message can't be reported
-    // as not accepted either: its client waits until it gives up by itself.
-    if (undecided || journal_->stalled()) {
+    // as not accepted either: its client waits until it gives up by itself, or hears the final answer.
+    const bool recorded = journal_->coordinator().acceptance_record(w.id) == Record::durable;
+    if (undecided || journal_->stalled() || !recorded) {
       unacknowledged_.push_back(w);
       continue;
     }
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -40,7 +40,9 @@
   // after 3.7 s; messages still held then stay in the journal.
   void stop(std::function<void()> stopped);
 
-  bool ready() const { return has_list_ && !stopping_; }
+  bool ready() const { return unready_reason() == nullptr; }
+  // Why the relay is not ready to accept messages; null: it is.
+  const char* unready_reason() const;
   net::Address address() const { return clients_->address(); }
   std::size_t held() const { return core_->held(); }
   // Bytes of requests that clients have sent ahead of unanswered ones.
--- a/tests/octets_test.cpp
+++ b/tests/octets_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <random>
 
+#include "journal/coordinator.hpp"
 #include "journal/record_reader.hpp"
 #include "platform/semantics.hpp"
 #include "platform_fixture.hpp"
@@ -19,6 +20,7 @@
 using platform::testing::PlatformFixture;
 using platform::testing::Server;
 
+constexpr Time kSecond = 1'000'000;
 const std::string kNoise = "\xff\xfe\x9c\x80";
 
 class Octets : public ::testing::Test {
@@ -111,6 +113,44 @@
   }
 }
 
+// Guards against a message whose record fits when it is accepted, and is too large when it is written anew
+// with what has become of its attempts.
+TEST_F(Octets, NoRecordOfAMessageOutgrowsItsBound) {
+  for (int round = 0; round < 200; round++) {
+    const auto accepted = message();
+    record::Taken first;
+    first.id = 7, first.message = accepted, first.deadline = kSecond;
+    first.destination = text(), first.message_class = text(), first.tenant = text();
+    const std::size_t names = first.destination.size() + first.message_class.size() + first.tenant.size();
+    StateImage image;
+    image.apply(1, {time(), first});
+    for (Sequence s = 2; s < 60; s++) {
+      if (draw(3) > 0)
+        image.apply(s, {time(), record::Sending{7, attempt()}});
+      else
+        image.apply(s, {time(), record::Ended{7, static_cast<int>(draw(50)), draw(2) == 0, text(90'000)}});
+      EXPECT_LE(encode({time(), image.held().at(7).state}).size(), max_record_bytes(*accepted, names));
+    }
+    EXPECT_LE(image.held().at(7).state.out.size(), kMaxOpenAttempts);
+  }
+}
+
+// Guards against an attempt that is forgotten, and with it that a message may have run, because many are
+// open.
+TEST_F(Octets, AnAttemptThatIsNoLongerListedCountsAsOneThatMayHaveRun) {
+  StateImage image;
+  record::Taken first;
+  first.id = 7, first.message = message();
+  image.apply(1, {1, first});
+  for (int i = 0; i <= static_cast<int>(kMaxOpenAttempts); i++)
+    image.apply(2 + static_cast<Sequence>(i), {1, record::Sending{7, {i, "e", 3, 100 + i}}});
+  const auto& held = image.held().at(7).state;
+  EXPECT_TRUE(held.ran);
+  EXPECT_EQ(held.ran_zone, 3);
+  EXPECT_EQ(held.ran_at, 100);
+  EXPECT_EQ(held.out.front().number, 1);
+}
+
 // Guards against messages that an earlier version has written with texts that it could not read, and that
 // stay unreadable.
 TEST_F(Octets, RecordsOfAnEarlierVersionThatItCouldNotReadAreRead) {
@@ -141,6 +181,126 @@
   EXPECT_EQ(reader.newer_version(), "");
 }
 
+// ---- Coordinator ----
+
+// A coordinator on a log in memory, for records of at most 10,000 bytes.
+class Coordinating : public relay::Transport, public relay::AnswerSink {
+ public:
+  // `image`: of what an earlier version has written, in one record of so many bytes.
+  explicit Coordinating(StateImage image = {}, std::size_t record_bytes = 0) {
+    JournalCoordinatorSettings settings;
+    settings.classes.resize(1), settings.class_names = {"safe"};
+    settings.record_bytes_max = 10'000, settings.window_bytes = 20'000;
+    coordinator = std::make_unique<JournalCoordinator>(
+        settings, std::move(image),
+        JournalCoordinator::Ports{
+            .transport = *this,
+            .answers = *this,
+            .destination_name = [](DestinationId) { return std::string("7"); },
+            .append = [this](std::string bytes) { return log.push_back(std::move(bytes)), log.size(); },
+            .release = [this](Sequence upto) { released = upto; },
+            .call_dropped = [](relay::CallId, const relay::CallResult&) {},
+            .log = [this](const std::string& line) { lines.push_back(line); }});
+    if (record_bytes > 0) {
+      log.emplace_back(record_bytes, 'r');
+      coordinator->count_existing_record(1, record_bytes);
+    }
+    coordinator->write_base({"boot", 1, 1, 1, 0, 1}, 1);
+  }
+  void accept(MessageId id, std::size_t body) {
+    auto m = std::make_shared<relay::NewMessage>();
+    m->owner = "m", m->body = std::string(body, 'b');
+    coordinator->message_accepted(id, m, 100 * kSecond);
+  }
+  void commit() { coordinator->mark_durable(log.size()); }
+  void send(const relay::OutgoingCall&) override {}
+  CancelResult cancel(relay::CallId) override { return CancelResult::sent; }
+  bool cancel_unsent(relay::CallId) override { return false; }
+  std::vector<relay::CallId> cancel_all_unsent(const EndpointId&) override { return {}; }
+  void close_idle(const EndpointId&) override {}
+  void probe(const EndpointId&) override {}
+  void served(MessageId, const relay::CallResult&) override {}
+  void refused(MessageId, Time, const relay::AttemptSummary&) override {}
+  void failed(MessageId, const relay::AttemptSummary&) override {}
+
+  std::vector<std::string> log, lines;
+  Sequence released = 0;
+  std::unique_ptr<JournalCoordinator> coordinator;
+};
+
+// Guards against an acknowledgement of a message that is not written, and against a journal that ends because
+// of one record.
+TEST_F(Octets, AMessageWithoutARecordIsNotAcknowledgedAndTheJournalGoesOn) {
+  using AcceptanceRecord = JournalCoordinator::AcceptanceRecord;
+  Coordinating c;
+  bool acknowledged = false;
+  c.accept(1, 20'000);
+  c.coordinator->when_durable(1, [&] { acknowledged = true; });
+  c.accept(2, 100);
+  EXPECT_EQ(c.coordinator->acceptance_record(2), AcceptanceRecord::pending);
+  c.commit();
+  EXPECT_EQ(c.coordinator->acceptance_record(1), AcceptanceRecord::rejected);
+  EXPECT_EQ(c.coordinator->acceptance_record(2), AcceptanceRecord::durable);
+  EXPECT_FALSE(acknowledged);
+  EXPECT_FALSE(c.coordinator->failed());
+  ASSERT_EQ(c.lines.size(), 1u);
+  EXPECT_NE(c.lines[0].find("message 1"), std::string::npos);
+}
+
+// Guards against an acknowledgement that is given because nothing can be written.
+TEST_F(Octets, AnAcknowledgementWaitsWhileTheJournalStallsAndIsNeverGivenOnceItFails) {
+  Coordinating c;
+  int acknowledged = 0;
+  c.accept(1, 100);
+  c.coordinator->when_durable(1, [&] { acknowledged++; });
+  c.coordinator->set_stalled(true);
+  c.accept(2, 100);
+  c.coordinator->when_durable(2, [&] { acknowledged++; });
+  EXPECT_EQ(acknowledged, 0);
+  c.coordinator->set_stalled(false);
+  c.commit();
+  EXPECT_EQ(acknowledged, 2);
+  c.accept(3, 100);
+  c.coordinator->when_durable(3, [&] { acknowledged++; });
+  c.coordinator->fail("test");
+  c.coordinator->when_durable(3, [&] { acknowledged++; });
+  EXPECT_EQ(acknowledged, 2);
+}
+
+// Guards against a message that the journal accepts at its size, and can't write anew.
+TEST_F(Octets, AMessageIsAcceptedOnlyIfItsRecordFitsWhateverHappensToIt) {
+  Coordinating c;
+  relay::NewMessage m;
+  m.body = std::string(9'900, 'b');
+  EXPECT_FALSE(c.coordinator->may_record(m));
+  m.body = std::string(6'000, 'b');
+  EXPECT_TRUE(c.coordinator->may_record(m));
+}
+
+// Guards against readable records that are released for one that can't be written.
+TEST_F(Octets, TheRecordsOfAnItemThatCannotBeRewrittenAreKept) {
+  // An earlier version has accepted a larger message than this one would.
+  StateImage image;
+  record::Taken large;
+  auto m = std::make_shared<relay::NewMessage>();
+  m->body = std::string(30'000, 'b');
+  large.id = 5, large.message = m, large.deadline = 100 * kSecond;
+  image.apply(1, {1, large});
+  Coordinating c(std::move(image), 30'100);
+  for (MessageId id = 10; id < 70; id++) c.accept(id, 5'000);
+  c.commit();
+  c.coordinator->compact(2, 100);
+  c.commit();
+  EXPECT_EQ(c.released, 0u);
+  EXPECT_EQ(c.lines.size(), 1u);
+  EXPECT_FALSE(c.coordinator->failed());
+  c.coordinator->refused(5, 0, {});  // once it has its final answer its records are released
+  c.commit();
+  c.coordinator->compact(3, 100);
+  c.commit();
+  EXPECT_GE(c.released, 1u);
+}
+
 // ---- The platform's relay ----
 
 class PlatformOctets : public ::testing::Test {
@@ -204,6 +364,28 @@
   expect_sent_again();
 }
 
+// Guards against a journal that ends unnoticed after a long line in an answer, and 202 that go on.
+TEST_F(PlatformOctets, MessagesAcceptedAfterALongLineOfAnAnswerOutliveAKill) {
+  play(std::string(63'000, '#'), 64'000, 5);
+  expect_sent_again();
+}
+
+// Guards against 202, and a readiness check that says 200, after the journal has ended.
+TEST_F(PlatformOctets, OnceTheJournalHasEndedNothingIsAcknowledgedAndTheRelayIsNotReady) {
+  platform.add_endpoint("sound", 8);
+  platform.start();
+  auto& journal = const_cast<platform::Journal&>(platform.relay->journal());
+  Client client(platform);
+  client.submit("earlier", "order", 8);
+  EXPECT_EQ(client.status(), 202);
+  journal.coordinator().fail("test");
+  client.submit("later", "order", 8);
+  EXPECT_EQ(client.status(), 503);
+  client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(client.status(), 503);
+  EXPECT_EQ(platform.call_count("later"), 0u);
+}
+
 // ---- Text forms ----
 
 // Guards against log lines, traces and exports that no reader of JSON takes.
--- a/tests/platform_journal_test.cpp
+++ b/tests/platform_journal_test.cpp
@@ -195,11 +195,32 @@
   coordinator.refused(2, 0, {});
   journal->commit();
   EXPECT_EQ(host.answered, std::set<MessageId>{1});
-  EXPECT_STREQ(journal->rejection_reason(10), "the journal can't be written now");
+  EXPECT_STREQ(journal->rejection_reason(relay::NewMessage()), "the journal can't be written now");
   files.before_call = nullptr;
   journal->commit();
   EXPECT_EQ(host.answered, (std::set<MessageId>{1, 2}));
-  EXPECT_EQ(journal->rejection_reason(10), nullptr);
+  EXPECT_EQ(journal->rejection_reason(relay::NewMessage()), nullptr);
+}
+
+// Guards against messages that are accepted, and acknowledged, although nothing is written any more.
+TEST(PlatformJournalEnd, AJournalThatHasEndedAcceptsAndConfirmsNothing) {
+  using AcceptanceRecord = journal::JournalCoordinator::AcceptanceRecord;
+  testing::FaultyFiles files(1);
+  loop::Loop loop;
+  RecordingHost host;
+  const auto journal = open(loop, files, host);
+  auto& coordinator = journal->coordinator();
+  const auto message = std::make_shared<relay::NewMessage>();
+  coordinator.message_accepted(1, message, loop.now() + kHour);
+  journal->commit();
+  coordinator.message_accepted(2, message, loop.now() + kHour);
+  coordinator.fail("test");
+  coordinator.message_accepted(3, message, loop.now() + kHour);
+  EXPECT_TRUE(journal->ended());
+  EXPECT_STREQ(journal->rejection_reason(*message), "the journal accepts no more records");
+  EXPECT_EQ(coordinator.acceptance_record(1), AcceptanceRecord::durable);
+  EXPECT_EQ(coordinator.acceptance_record(2), AcceptanceRecord::rejected);
+  EXPECT_EQ(coordinator.acceptance_record(3), AcceptanceRecord::rejected);
 }
 
 }  // namespace
