--- a/bench/journal_bench.cpp
+++ b/bench/journal_bench.cpp
@@ -112,7 +112,7 @@
     coordinator.attempt_ended({id, "bank-1", id, 0, 0, nullptr}, {});
     coordinator.served(id, {});
     coordinator.mark_durable(next - 1);
-    if (id % 500 == 0) coordinator.compact(static_cast<Time>(id), 1'000);
+    if (id % 500 == 0) coordinator.compact(static_cast<Time>(id), {.items = 1'000});
   }
   state.counters["bytes_a_message"] = static_cast<double>(bytes) / static_cast<double>(id);
 }
--- a/src/journal/coordinator.cpp
+++ b/src/journal/coordinator.cpp
@@ -35,6 +35,7 @@
   const Sequence s = failed_ ? 0 : ports_.append(std::move(bytes));
   last_sequence_ = s != 0 ? s : last_sequence_ + 1;
   image_.apply(last_sequence_, record);
+  note_needed_records();
   if (s == 0)
     fail("the log accepts no more records");
   else
@@ -48,8 +49,9 @@
     byte_marks_.emplace_back(sequence, bytes_written_);
 }
 
-void JournalCoordinator::count_existing_record(Sequence sequence, std::size_t bytes) {
-  last_sequence_ = durable_ = sequence;  // opening the log made it durable
+void JournalCoordinator::count_existing_record(Sequence sequence, std::size_t bytes, ExistingRecord state) {
+  last_sequence_ = sequence;
+  if (state == ExistingRecord::durable) durable_ = sequence;
   count_bytes(sequence, bytes);
 }
 
@@ -62,6 +64,7 @@
 
 void JournalCoordinator::write_base(const record::Base& base, Time now) {
   set_time(now);
+  note_needed_records();
   write_record({now_, base});
 }
 
@@ -74,6 +77,7 @@
     if (w.kind == WaitingAction::Kind::call) held_back_calls_.erase(w.call), endpoint_by_call_.erase(w.call);
     w.run();
   }
+  release_unneeded();
 }
 
 void JournalCoordinator::fail(const std::string& why) {
@@ -275,29 +279,23 @@
 
 // The old records are released for the new one. Guards against one that takes their place and can't be read,
 // or was never written: the old ones stay until their item has ended.
-bool JournalCoordinator::rewrite_oldest_item() {
+std::size_t JournalCoordinator::rewrite_oldest_item() {
   const Record record = image_.oldest_item_record(now_);
   std::string bytes = encode(record);
+  const std::size_t size = bytes.size();
   Record read_back;
   const auto result = decode(bytes, read_back);
-  if (result.ok() && bytes.size() <= settings_.record_bytes_max)
-    return append_record(record, std::move(bytes)) != 0;
+  if (result.ok() && size <= settings_.record_bytes_max) {
+    if (!ports_.has_room(size)) return 0;
+    return append_record(record, std::move(bytes)) != 0 ? size : 0;
+  }
   if (std::exchange(unwritable_, image_.oldest_needed()) != image_.oldest_needed())
-    ports_.log(describe(record) + " of " + std::to_string(bytes.size()) + " bytes can't be rewritten" +
+    ports_.log(describe(record) + " of " + std::to_string(size) + " bytes can't be rewritten" +
                (result.ok() ? "" : ": " + result.problem) + "; the earlier records are kept");
-  return false;
+  return 0;
 }
 
-bool JournalCoordinator::compact(Time now, std::size_t max_items, bool low_on_space) {
-  set_time(now);
-  std::size_t done = 0;
-  while (done < max_items && !failed_) {
-    const MessageId expired =
-        image_.find_expired_answer(now_, settings_.answers_max, settings_.answers_bytes_max);
-    if (expired == 0) break;
-    write_record({now_, record::Gone{expired}}), done++;
-  }
-  image_.expire_delivered_answers(now_, static_cast<std::size_t>(settings_.window_bytes / 3));
+Sequence JournalCoordinator::first_record_to_keep(SpacePressure pressure) {
   // Records before this one are older than the window.
   Sequence keep_from = 0;
   while (byte_marks_.size() > 1 && bytes_written_ - byte_marks_[1].second > settings_.window_bytes)
@@ -305,32 +303,60 @@
   if (!byte_marks_.empty() && bytes_written_ - byte_marks_.front().second > settings_.window_bytes)
     keep_from = byte_marks_.front().first;
   // While the log is short of space no new messages are accepted, so the window would never advance. All that
-  // is needed is rewritten then, if it is smaller than the window and rewriting would at least halve the log.
-  if (low_on_space && image_.oldest_needed() >= rewrite_before_ &&
-      image_.approximate_bytes() < settings_.window_bytes) {
+  // is needed is rewritten then, once.
+  const bool rewritten = image_.oldest_needed() >= rewrite_before_;
+  if (pressure == SpacePressure::critical && rewritten) rewrite_before_ = last_sequence_ + 1;
+  if (pressure == SpacePressure::low && rewritten && image_.approximate_bytes() < settings_.window_bytes) {
     std::uint64_t before = 0;  // bytes written before the oldest needed record
     for (const auto& [s, bytes] : byte_marks_)
       if (s <= image_.oldest_needed()) before = bytes;
     if (bytes_written_ - before > 2 * image_.approximate_bytes() + kBytesPerMark)
       rewrite_before_ = last_sequence_ + 1;
   }
-  keep_from = std::max(keep_from, rewrite_before_);
-  while (done < max_items && !failed_ && image_.oldest_needed() != 0 && image_.oldest_needed() < keep_from) {
-    if (!rewrite_oldest_item()) break;
-    done++;
+  return std::max(keep_from, rewrite_before_);
+}
+
+bool JournalCoordinator::compact(Time now, CompactionLimits limits, SpacePressure pressure) {
+  set_time(now);
+  std::size_t items = 0;
+  std::uint64_t bytes = 0;
+  while (items < limits.items && !failed_) {
+    const MessageId expired =
+        image_.find_expired_answer(now_, settings_.answers_max, settings_.answers_bytes_max);
+    if (expired == 0) break;
+    write_record({now_, record::Gone{expired}}), items++;
   }
-  // Rewritten records must be durable before the old ones are released.
-  const Sequence needed = image_.oldest_needed();
-  if (needed > released_ + 1 && !failed_) {
-    released_ = needed - 1;
-    const Sequence after = released_;
-    if (last_sequence_ <= durable_)
-      ports_.release(after);
-    else
-      wait_until_durable(last_sequence_,
-                         {WaitingAction::Kind::release, 0, [this, after] { ports_.release(after); }, 0});
+  image_.expire_delivered_answers(now_, static_cast<std::size_t>(settings_.window_bytes / 3));
+  note_needed_records();
+  const Sequence keep_from = first_record_to_keep(pressure);
+  while (items < limits.items && bytes < limits.bytes && !failed_ && image_.oldest_needed() != 0 &&
+         image_.oldest_needed() < keep_from) {
+    const std::size_t written = rewrite_oldest_item();
+    if (written == 0) break;
+    items++, bytes += written;
   }
-  return done >= max_items;
+  release_unneeded();
+  return items >= limits.items || bytes >= limits.bytes;
+}
+
+void JournalCoordinator::note_needed_records() {
+  const Sequence needed = image_.oldest_needed();
+  if (oldest_needed_after_.empty() || oldest_needed_after_.back().second != needed)
+    oldest_needed_after_.emplace_back(last_sequence_, needed);
+}
+
+// Guards against records that are released although what replaces them may yet be lost, and against a log
+// that stays full of records that nothing needs any more: what the durable state needs is known at any time,
+// also while later records can't be written.
+void JournalCoordinator::release_unneeded() {
+  if (failed_) return;
+  while (oldest_needed_after_.size() > 1 && oldest_needed_after_[1].first <= durable_)
+    oldest_needed_after_.pop_front();
+  if (oldest_needed_after_.empty() || oldest_needed_after_.front().first > durable_) return;
+  const Sequence needed = oldest_needed_after_.front().second;
+  if (needed <= released_ + 1) return;
+  released_ = needed - 1;
+  ports_.release(released_);
 }
 
 }  // namespace cedarplank::journal
--- a/src/journal/coordinator.hpp
+++ b/src/journal/coordinator.hpp
@@ -76,6 +76,8 @@
     // A held-back call will never be sent. send() may call this, so the core must be informed later, outside
     // of its own round.
     std::function<void(relay::CallId, relay::CallResult)> call_dropped;
+    // Whether the log has space for a record of so many bytes now.
+    std::function<bool(std::size_t bytes)> has_room = [](std::size_t) { return true; };
     // A record can't be written, and why.
     std::function<void(const std::string&)> log = [](const std::string&) {};
   };
@@ -85,7 +87,9 @@
   // Counts a record that the log already holds, with its header, towards the window; called for each in
   // order. Otherwise the log of a relay that is restarted again and again would grow by a window at each
   // start.
-  void count_existing_record(Sequence sequence, std::size_t bytes);
+  enum class ExistingRecord { durable, pending };
+  void count_existing_record(Sequence sequence, std::size_t bytes,
+                             ExistingRecord state = ExistingRecord::durable);
   // Writes the Base of this run. To be called once, after all calls of count_existing_record()
   // and before any other record is written.
   void write_base(const record::Base& base, Time now);
@@ -136,10 +140,20 @@
   // can decide about it.
   void end_message_without_class(MessageId id);
 
-  // Drops expired answers, rewrites items that need old records, and releases the records before. Handles at
-  // most `max_items` items; to be called periodically. Returns true if more may be left to do.
-  // `low_on_space`: the log is short of space, so records are released even within the window.
-  bool compact(Time now, std::size_t max_items, bool low_on_space = false);
+  // How short of space the log is.
+  enum class SpacePressure {
+    none,     // items that need records older than the window are rewritten
+    low,      // all items are, if that at least halves the log
+    critical  // all items are
+  };
+  struct CompactionLimits {
+    std::size_t items = 64;
+    std::uint64_t bytes = std::numeric_limits<std::uint64_t>::max();  // of rewritten records
+  };
+  // Drops expired answers and rewrites items that need old records, as far as the limits and the log's space
+  // allow; to be called periodically. The old records are released once the new ones are durable. Returns
+  // true if a limit was reached, so that more may be left to do.
+  bool compact(Time now, CompactionLimits limits, SpacePressure pressure = SpacePressure::none);
 
   // The current state. Still updated after the journal has failed, so requests can be answered from it.
   const StateImage& image() const { return image_; }
@@ -167,7 +181,7 @@
  private:
   // An action that waits for a record to be durable.
   struct WaitingAction {
-    enum class Kind { answer, acknowledgement, call, release } kind = Kind::answer;
+    enum class Kind { answer, acknowledgement, call } kind = Kind::answer;
     relay::CallId call = 0;
     std::function<void()> run;
     Time deadline = 0;  // deadline of the message, for an answer; 0: none
@@ -177,8 +191,15 @@
   Sequence write_record(Record record);
   // Appends and applies a record that is encoded already. Returns as write_record() does.
   Sequence append_record(const Record& record, std::string bytes);
-  // Writes the item that needs the oldest record anew, if that can be read back. Returns whether it did.
-  bool rewrite_oldest_item();
+  // Writes the item that needs the oldest record anew, if that can be read back and the log has space for it.
+  // Returns the bytes of the record; 0: it was not written.
+  std::size_t rewrite_oldest_item();
+  // The first record that is to be kept: items that need earlier ones are rewritten.
+  Sequence first_record_to_keep(SpacePressure pressure);
+  // Notes which records are needed by the state after the last one.
+  void note_needed_records();
+  // Releases the records that the durable state doesn't need.
+  void release_unneeded();
   void count_bytes(Sequence sequence, std::size_t bytes);
   // Ends all waiting when the journal fails or stalls: answers are given, calls are refused. Acknowledgements
   // are dropped, or go on waiting while it stalls.
@@ -203,6 +224,9 @@
   std::deque<std::pair<Sequence, std::uint64_t>> byte_marks_;  // samples of `bytes_written_` by record
   std::uint64_t bytes_written_ = 0;
   Sequence durable_ = 0, released_ = 0, last_sequence_ = 0;
+  // The oldest record that was needed after a record was applied, where that changed; of the records that are
+  // not durable yet, and the latest durable one.
+  std::deque<std::pair<Sequence, Sequence>> oldest_needed_after_;
   Sequence rewrite_before_ = 0;  // when low on space: items that need earlier records are rewritten
   Sequence unwritable_ = 0;      // the oldest needed record, if it was reported that it can't be rewritten
   std::string failure_reason_;
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -149,8 +149,11 @@
 }
 
 void Journal::run_maintenance() {
-  const bool more = coordinator_->compact(loop_.now(), kMaintenanceBatch,
-                                          writer_->state() != store::Writer::State::healthy);
+  using Coordinator = journal::JournalCoordinator;
+  const bool short_of_space = writer_->state() != store::Writer::State::healthy;
+  const bool more = coordinator_->compact(
+      loop_.now(), {.items = kMaintenanceBatch},
+      short_of_space ? Coordinator::SpacePressure::low : Coordinator::SpacePressure::none);
   maintenance_timer_ =
       loop_.after(more ? kMaintenanceBusyInterval : kMaintenanceInterval, [this] { run_maintenance(); });
 }
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -11,8 +11,12 @@
 namespace {
 
 constexpr Time kTidyInterval = 50'000;
-constexpr std::size_t kTidyItems = 64;                 // items per run
-constexpr std::size_t kTidyItemsWhenFull = 1'024;      // items per run, while the log is short of space
+constexpr std::size_t kTidyItems = 64;             // items per run
+constexpr std::size_t kTidyItemsWhenFull = 1'024;  // items per run, while the log is short of space
+constexpr int kTidyRunsWhenFull = 16;              // runs at once, while the log is short of space
+// Free segments that rewriting needs: the end of the last one may be too short for a record, and the records
+// of one run may need another.
+constexpr std::size_t kCriticalFreeSegments = 3;
 constexpr std::uint64_t kMinSegmentBytes = 96 * 1024;  // bytes: a record with a body of 64 KiB fits
 constexpr std::uint64_t kMaxSegmentBytes = 4 * 1024 * 1024;
 constexpr std::uint64_t kTargetSegments = 24;
@@ -70,8 +74,12 @@
                   if (!weak.expired()) unsent(call, ending);
                 });
               },
+          .has_room = [this](std::size_t bytes) { return overflow_.empty() && log_->has_room(bytes); },
           .log = log_line_});
-  for (const auto& [sequence, bytes] : records_read_) coordinator_->count_existing_record(sequence, bytes);
+  using ExistingRecord = journal::JournalCoordinator::ExistingRecord;
+  for (const auto& [sequence, bytes] : records_read_)
+    coordinator_->count_existing_record(
+        sequence, bytes, sequence <= log_->durable() ? ExistingRecord::durable : ExistingRecord::pending);
   records_read_ = {};
   timer_ = loop_.after(kTidyInterval, [this] { tidy(); });
 }
@@ -229,7 +237,8 @@
   if (ended()) return "the journal accepts no more records";
   if (stalled()) return "the journal can't be written now";
   if (!coordinator_->may_record(message)) return "the journal takes no record so large";
-  const bool room = log_->segments() <= log_settings_.segments_max * 2 / 3 &&
+  // Planned segments, because all messages of a turn are written at its end.
+  const bool room = log_->planned_segments() <= log_settings_.segments_max * 2 / 3 &&
                     image().approximate_bytes() < log_settings_.segment_size * log_settings_.segments_max / 3;
   return room ? nullptr : "the journal has no room now";
 }
@@ -242,15 +251,30 @@
 
 void Journal::tidy() {
   if (pending_release_ != 0) release(pending_release_);
-  if (!stalled()) {
-    const bool pressed = log_->segments() > log_settings_.segments_max / 2;
-    coordinator_->compact(loop_.now(), pressed ? kTidyItemsWhenFull : kTidyItems, pressed);
-    if (uncommitted_) {
-      commit();
-      waiters_released_();
-    }
-  }
+  for (int run = 0; run < kTidyRunsWhenFull; run++)
+    if (!compact()) break;
   timer_ = loop_.after(kTidyInterval, [this] { tidy(); });
 }
 
+// Guards against a log that is filled by what is rewritten before anything is freed.
+bool Journal::compact() {
+  using SpacePressure = journal::JournalCoordinator::SpacePressure;
+  if (stalled()) return false;
+  const auto pressure = space_pressure();
+  const std::size_t items = pressure == SpacePressure::none ? kTidyItems : kTidyItemsWhenFull;
+  const bool more =
+      coordinator_->compact(loop_.now(), {.items = items, .bytes = log_settings_.segment_size / 2}, pressure);
+  if (uncommitted_) {
+    commit();
+    waiters_released_();
+  }
+  return more && pressure == SpacePressure::low;
+}
+
+journal::JournalCoordinator::SpacePressure Journal::space_pressure() const {
+  using SpacePressure = journal::JournalCoordinator::SpacePressure;
+  if (log_->segments() + kCriticalFreeSegments > log_settings_.segments_max) return SpacePressure::critical;
+  return log_->segments() > log_settings_.segments_max / 2 ? SpacePressure::low : SpacePressure::none;
+}
+
 }  // namespace cedarplank::platform
--- a/src/platform/journal.hpp
+++ b/src/platform/journal.hpp
@@ -92,8 +92,12 @@
   void retry();
   // Frees the records up to and including `upto`; tidy() tries again after an error.
   void release(journal::Sequence upto);
-  // Periodic upkeep: lets the coordinator carry old records forward so that old segments can be freed.
+  // Periodic upkeep: lets the coordinator rewrite what needs old records, so that old segments are freed.
   void tidy();
+  // Rewrites as much as fits into one segment, and commits it, which frees the old ones. Returns whether more
+  // is to be done at once.
+  bool compact();
+  journal::JournalCoordinator::SpacePressure space_pressure() const;
 
   loop::Loop& loop_;
   const Settings settings_;
--- a/src/store/log.cpp
+++ b/src/store/log.cpp
@@ -191,8 +191,10 @@
   opened.next = next_;
   durable_ = written_ = next_ - 1;
   if (settings_.read_only) return failed_ = true, opened;
+  if (segments_.empty()) write_offset_ = settings_.segment_size;  // as if a segment were full
+  reset_plan();
   if (segments_.empty()) {
-    write_offset_ = settings_.segment_size;  // as if a segment were full: commit() begins the first one
+    // If that fails, commit() begins the first segment.
     if (const auto e = begin_segment(); e && settings_.sync)
       return fail(LogProblem::Kind::io, "cannot create a segment: " + e.message());
   }
@@ -203,6 +205,7 @@
   id_ = id, next_ = next;
   written_ = durable_ = next - 1;
   file_.reset(), write_offset_ = settings_.segment_size, torn_tail_size_ = 0;
+  reset_plan();
   failed_ = unsynced_ = false;
   pending_.clear(), pending_sizes_.clear();
 }
@@ -247,6 +250,10 @@
   if (error) return error;
   file_ = std::move(file), write_offset_ = kSegmentHeaderSize;
   segments_.push_back({name, next_to_write()});
+  if (planned_new_segments_ > 0)
+    planned_new_segments_--;
+  else
+    reset_plan();
   return {};
 }
 
@@ -270,21 +277,36 @@
       bytes.size() + kRecordHeaderSize + kSegmentHeaderSize > settings_.segment_size)
     return AppendResult::too_large;
   // Pending records count too, so that a commit never lacks a segment.
-  const std::uint64_t left = segments_.size() >= settings_.segments_max
-                                 ? settings_.segment_size - write_offset_
-                                 : settings_.segment_size;
-  if (segments_.size() >= settings_.segments_max && pending_.size() + kRecordHeaderSize + bytes.size() > left)
-    return AppendResult::no_space;
+  if (!has_room(bytes.size())) return AppendResult::no_space;
   std::string head;
   put(head, static_cast<std::uint32_t>(bytes.size())), put(head, std::uint32_t{0});
   put(head, next_), put(head, durable_);
   put(head, checksum(id_, head, bytes));
   pending_ += head, pending_ += bytes;
   pending_sizes_.push_back(head.size() + bytes.size());
+  plan_record(head.size() + bytes.size());
   next_++;
   return AppendResult::appended;
 }
 
+bool Log::has_room(std::size_t bytes) const {
+  const bool fits = planned_offset_ + kRecordHeaderSize + bytes <= settings_.segment_size;
+  return fits || planned_segments() < settings_.segments_max;
+}
+
+void Log::plan_record(std::size_t size) {
+  if (planned_offset_ + size > settings_.segment_size) {
+    planned_new_segments_++;
+    planned_offset_ = kSegmentHeaderSize;
+  }
+  planned_offset_ += size;
+}
+
+void Log::reset_plan() {
+  planned_new_segments_ = 0;
+  planned_offset_ = write_offset_;
+}
+
 std::error_code Log::commit() {
   if (failed_) return std::make_error_code(std::errc::io_error);
   if (torn_tail_size_ > 0)
--- a/src/store/log.hpp
+++ b/src/store/log.hpp
@@ -82,6 +82,10 @@
   Sequence durable() const { return durable_; }  // the last durable record; 0: none
   bool failed() const { return failed_; }
   std::size_t segments() const { return segments_.size(); }
+  // As segments(), once all that was appended is written.
+  std::size_t planned_segments() const { return segments_.size() + planned_new_segments_; }
+  // Whether a record of so many bytes has space now, behind all that was appended.
+  bool has_room(std::size_t bytes) const;
   std::uint64_t id() const { return id_; }
   std::size_t pending() const { return pending_.size(); }  // bytes appended but not written
 
@@ -123,6 +127,10 @@
   static std::error_code write_all(File& file, std::uint64_t at, std::string_view bytes);
   std::string segment_name(Sequence first) const;
   Sequence next_to_write() const { return written_ + 1; }
+  // Plans the place of a record of this size, header included, behind all others.
+  void plan_record(std::size_t size);
+  // Nothing is planned beyond what is written.
+  void reset_plan();
 
   Files& files_;
   const LogSettings settings_;
@@ -132,6 +140,9 @@
   std::uint64_t next_spare_number_ = 0;   // for the name of the next one
   std::unique_ptr<File> file_;            // of the last segment
   std::uint64_t write_offset_ = 0;        // offset of the next record in it
+  // Where the next record will be written: in how many segments after the last one, at which offset.
+  std::size_t planned_new_segments_ = 0;
+  std::uint64_t planned_offset_ = 0;
   // Bytes of an unfinished commit after `write_offset_` that are to be cleared.
   std::size_t torn_tail_size_ = 0;
   std::string pending_;  // records with their headers, not written yet
--- a/tests/journal_crash_test.cpp
+++ b/tests/journal_crash_test.cpp
@@ -122,7 +122,7 @@
       }
       core_->run_due(o_.now);
       commit();
-      keeper_->compact(o_.now, 5);
+      keeper_->compact(o_.now, {.items = 5});
     }
     EXPECT_TRUE(all_answered()) << "a message has no final answer";
   }
--- a/tests/octets_test.cpp
+++ b/tests/octets_test.cpp
@@ -289,14 +289,14 @@
   Coordinating c(std::move(image), 30'100);
   for (MessageId id = 10; id < 70; id++) c.accept(id, 5'000);
   c.commit();
-  c.coordinator->compact(2, 100);
+  c.coordinator->compact(2, {.items = 100});
   c.commit();
   EXPECT_EQ(c.released, 0u);
   EXPECT_EQ(c.lines.size(), 1u);
   EXPECT_FALSE(c.coordinator->failed());
   c.coordinator->refused(5, 0, {});  // once it has its final answer its records are released
   c.commit();
-  c.coordinator->compact(3, 100);
+  c.coordinator->compact(3, {.items = 100});
   c.commit();
   EXPECT_GE(c.released, 1u);
 }
--- a/tests/platform_journal_test.cpp
+++ b/tests/platform_journal_test.cpp
@@ -3,6 +3,9 @@
 // final answer was sent.
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <random>
+
 #include "faulty_files.hpp"
 #include "platform/journal.hpp"
 
@@ -164,7 +167,8 @@
       RecordingHost next;
       journal = open(loop, files, next);
       expect_consistent(*journal, host, "start " + std::to_string(start) + ", " + std::to_string(first));
-      for (int i = 0; i < 5; i++) journal->coordinator().compact(loop.now(), 64), journal->commit();
+      for (int i = 0; i < 5; i++)
+        journal->coordinator().compact(loop.now(), {.items = 64}), journal->commit();
       journal.reset();
     }
     files.before_call = nullptr;
@@ -223,5 +227,134 @@
   EXPECT_EQ(coordinator.acceptance_record(3), AcceptanceRecord::rejected);
 }
 
+// Messages of 64,000 bytes of a journal on 3 MB, a third of which they may take.
+class LargeMessages : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kBody = 64'000;
+
+  std::shared_ptr<relay::NewMessage> message(std::size_t body) {
+    auto m = std::make_shared<relay::NewMessage>();
+    m->owner = "m-" + std::to_string(next_id), m->body = std::string(body, 'b');
+    return m;
+  }
+  // Accepts a message unless the journal has no room. Returns whether it did.
+  bool accept(std::size_t body) {
+    const auto m = message(body);
+    if (journal->rejection_reason(*m) != nullptr) return false;
+    journal->coordinator().set_time(loop.now());
+    journal->coordinator().message_accepted(next_id, m, loop.now() + kHour);
+    held.push_back(next_id++);
+    return true;
+  }
+  // An attempt of each held message that ends without effect.
+  void try_all() {
+    for (const auto id : held) {
+      relay::OutgoingCall call;
+      call.id = id, call.endpoint = "e", call.message_id = id, call.message = message(1);
+      journal->coordinator().send(call);
+      journal->coordinator().attempt_ended(call, {Outcome::full, 0, {}, "503", {}});
+    }
+    journal->commit();
+  }
+  void end_last() {
+    held.push_front(held.back());
+    held.pop_back();
+    end_first();
+  }
+  void end_first() {
+    journal->coordinator().refused(held.front(), 0, {});
+    journal->coordinator().answer_delivered(held.front());
+    held.pop_front();
+  }
+  void end_all() {
+    while (!held.empty()) end_first();
+    journal->commit();
+  }
+  // Messages of another partner, which end at once.
+  void pass_others() {
+    for (int i = 0; i < 10; i++) {
+      ASSERT_TRUE(accept(5'000));
+      end_last();
+    }
+  }
+  void run_for(Time time) {
+    const Time end = loop::monotonic_now() + time;
+    while (loop::monotonic_now() < end) loop.run_once(5'000);
+  }
+
+  testing::FaultyFiles files{1};
+  loop::Loop loop;
+  RecordingHost host;
+  std::unique_ptr<Journal> journal = open(loop, files, host);
+  std::deque<MessageId> held;
+  MessageId next_id = 1;
+};
+
+// Guards against a log that is filled by the messages of one turn, before any of them is written, and then
+// accepts nothing until a restart.
+TEST_F(LargeMessages, OneTurnDoesNotFillTheLog) {
+  for (int i = 0; i < 9; i++) {
+    ASSERT_TRUE(accept(kBody));
+    journal->commit();
+  }
+  end_all();
+  while (accept(kBody)) {
+  }
+  journal->commit();
+  EXPECT_FALSE(journal->stalled());
+  end_all();
+  run_for(400'000);
+  EXPECT_TRUE(accept(kBody));
+}
+
+// Guards against a log that is filled by what compaction writes anew, before the old records are released,
+// and that then accepts nothing until a restart.
+TEST_F(LargeMessages, WhatIsWrittenAnewDoesNotFillTheLog) {
+  // 13 of 20 segments, each with one message of which two in three go on being held, and others that have
+  // ended.
+  for (int i = 0; i < 13; i++) {
+    ASSERT_TRUE(accept(kBody));
+    if (i % 3 == 2) end_last();
+    pass_others();
+    journal->commit();
+  }
+  ASSERT_EQ(held.size(), 9u);
+  run_for(400'000);
+  EXPECT_FALSE(journal->stalled());
+  EXPECT_EQ(journal->image().held().size(), 9u);
+  EXPECT_TRUE(accept(500)) << "what was written anew has made no room";
+  end_all();
+  run_for(400'000);
+  EXPECT_TRUE(accept(kBody));
+  journal->commit();
+  EXPECT_FALSE(journal->stalled());
+}
+
+// Guards against the same while messages come and go, of drawn sizes and for drawn times.
+TEST_F(LargeMessages, WhateverComesAndGoesTheJournalAcceptsAgain) {
+  std::mt19937 random(20'261'204);
+  std::size_t accepted = 0;
+  for (int round = 0; round < 400; round++) {
+    for (std::size_t n = random() % 6; n > 0; n--) accepted += accept(random() % 2 == 0 ? kBody : 500);
+    journal->commit();
+    if (random() % 4 == 0) try_all();
+    if (round % 100 >= 60) {  // the partner is open: what is held ends, a few at a time
+      for (int n = 0; n < 4 && !held.empty(); n++) end_first();
+      journal->commit();
+    }
+    run_for(5'000);
+    ASSERT_FALSE(journal->stalled()) << "round " << round;
+  }
+  EXPECT_GT(accepted, 200u);
+  end_all();
+  run_for(400'000);
+  EXPECT_TRUE(accept(kBody));
+  // The next start finds what is held.
+  journal->commit();
+  journal.reset();
+  journal = open(loop, files, host);
+  EXPECT_EQ(journal->image().held().size(), 1u);
+}
+
 }  // namespace
 }  // namespace cedarplank::platform
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include <filesystem>
+#include <random>
 
 #include "faulty_files.hpp"
 #include "store/log.hpp"
@@ -225,6 +226,31 @@
   EXPECT_EQ(log.append(std::string(401, 'x')), Log::AppendResult::too_large);
 }
 
+// Guards against records that are accepted, and that a commit then has no segment for: large ones leave the
+// ends of segments unused.
+TEST(Log, WhatIsAppendedInOneCommitHasItsSegments) {
+  FaultyFiles files(4);
+  auto settings = small();
+  settings.segments_max = 5;
+  Log log(files, settings, 42);
+  read(log);
+  std::mt19937 random(1);
+  for (int round = 0; round < 300; round++) {
+    for (std::size_t n = 1 + random() % 30; n > 0; n--) {
+      const std::string record(1 + random() % settings.record_size_max, 'r');
+      const bool room = log.has_room(record.size());
+      EXPECT_EQ(log.append(record), room ? Log::AppendResult::appended : Log::AppendResult::no_space);
+    }
+    const auto planned = log.planned_segments();
+    ASSERT_FALSE(log.commit()) << round;
+    EXPECT_EQ(log.segments(), planned);
+    EXPECT_LE(log.segments(), settings.segments_max);
+    if (random() % 3 == 0) {
+      ASSERT_FALSE(log.release(log.durable() - random() % log.durable()));
+    }
+  }
+}
+
 TEST(Log, OfALaterVersionOrOfSomethingElseIsLeftAlone) {
   FaultyFiles files(5);
   Log(files, small(), 42).open([](Sequence, std::string_view) {});
