--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -23,9 +23,10 @@
 // Standard streams, pipe, listeners, discovery, journal.
 constexpr std::size_t kReservedDescriptors = 24;
 // A start sends nothing by the list in its configuration, which may be old, before discovery has answered. It
-// goes on with it when so many calls in a row have failed, or at the latest after this time.
+// goes on with it when so many calls in a row have ended without a list, or at the latest after this time: a
+// call that is not answered, the pause after it, and another one with the 2 s that it may wait at discovery.
 constexpr int kListFailuresToGoOn = 2;
-constexpr Time kFirstListWait = 4'000'000;
+constexpr Time kFirstListWait = 5'000'000;
 constexpr Time kMemoryCheckInterval = 1'000'000;
 constexpr std::size_t kReleaseStep = 1'000'000;  // bytes of change after which free memory is given back
 // Bytes of objects for a held message beyond its own, in the core, the module, the journal's image and the
@@ -126,7 +127,7 @@
                                   apply_list(c, false);
                                   settle_list("discovery has answered");
                                 },
-                            .failed = [this] { handle_list_failure(); },
+                            .failed = [this](DiscoveryClient::Failure how) { handle_list_failure(how); },
                             .log = [this](const std::string& text) { log_.log_text(Event::discovery, text); },
                             .unix_to_monotonic = [this] { return unix_to_monotonic(); }});
   const auto not_yet = [this](const std::string& why) {
@@ -241,8 +242,9 @@
   schedule_turn();
 }
 
-void Relay::handle_list_failure() {
-  if (!list_settled_ && ++failed_list_calls_ >= kListFailuresToGoOn)
+void Relay::handle_list_failure(DiscoveryClient::Failure how) {
+  const bool ended = how == DiscoveryClient::Failure::ended;
+  if (!list_settled_ && ended && ++failed_list_calls_ >= kListFailuresToGoOn)
     settle_list("discovery can't be reached");
   core_->list_failed();
   schedule_turn();
--- a/src/platform/relay.hpp
+++ b/src/platform/relay.hpp
@@ -92,7 +92,7 @@
   // From now on messages are accepted and sent, by the list that is known.
   void settle_list(const char* why);
   // A call for the list has failed.
-  void handle_list_failure();
+  void handle_list_failure(DiscoveryClient::Failure how);
   // Throws std::runtime_error if the messages of the last run need more memory than there is.
   void check_recovered_memory();
   // Recovers the final answers that copies of ended requests still get.
