--- a/src/journal/coordinator.cpp
+++ b/src/journal/coordinator.cpp
@@ -8,6 +8,9 @@
 namespace cedarplank::journal {
 namespace {
 
+// A client that has had no answer hands a message in again within its time; how long the copy may be on its
+// way: the client waits 400 ms, and either side may be held up.
+constexpr Time kRepeatTransit = 1'000'000;
 constexpr std::uint64_t kBytesPerMark = 64 * 1024;  // bytes between two entries of byte_marks_
 
 std::string describe(const Record& record) {
@@ -134,6 +137,19 @@
   if (write_record({now_, std::move(r)}) == 0) unrecorded_.insert(id);
 }
 
+bool JournalCoordinator::has_room_for_message() const {
+  const std::size_t answers = image_.owed_answers() + image_.answers().size() + image_.held().size() + 1;
+  return answers * StateImage::kDeliveredAnswerBytes <= settings_.owed_answers_bytes_max &&
+         image_.approximate_owed_bytes() < settings_.needed_bytes_max;
+}
+
+std::size_t JournalCoordinator::delivered_answers_bytes_max() const {
+  const std::uint64_t delivered = image_.delivered_answers().size() * StateImage::kDeliveredAnswerBytes;
+  const std::uint64_t others = image_.approximate_bytes() - delivered;
+  const std::uint64_t left = settings_.needed_bytes_max - std::min(settings_.needed_bytes_max, others);
+  return static_cast<std::size_t>(std::min(settings_.window_bytes / 3, left));
+}
+
 bool JournalCoordinator::may_record(const relay::NewMessage& message) const {
   std::size_t names = ports_.destination_name(message.destination).size();
   names += settings_.class_names[static_cast<std::size_t>(message.message_class)].size();
@@ -241,7 +257,8 @@
   const bool keep = answers_to_keep_.erase(id) > 0;
   if (keep || !r.idempotency_key.empty() || !r.owner.empty()) r.until = now_ + settings_.answers_for;
   if (settings_.delivered_answers_for > 0 && !r.owner.empty())
-    r.remember = now_ + settings_.delivered_answers_for;
+    r.remember = now_ + settings_.delivered_answers_for, r.owed_until = due + kRepeatTransit;
+  r.remember = std::max(r.remember, r.owed_until);
   const Sequence s = write_record({now_, std::move(r)});
   if (s == 0 || stalled_ || !waits_.answers) return deliver();
   wait_until_durable(s, {WaitingAction::Kind::answer, 0, std::move(deliver), due});
@@ -279,8 +296,8 @@
 
 // The old records are released for the new one. Guards against one that takes their place and can't be read,
 // or was never written: the old ones stay until their item has ended.
-std::size_t JournalCoordinator::rewrite_oldest_item() {
-  const Record record = image_.oldest_item_record(now_);
+std::size_t JournalCoordinator::rewrite_oldest_item(Sequence before) {
+  const Record record = image_.oldest_item_record(now_, before);
   std::string bytes = encode(record);
   const std::size_t size = bytes.size();
   Record read_back;
@@ -326,12 +343,12 @@
     if (expired == 0) break;
     write_record({now_, record::Gone{expired}}), items++;
   }
-  image_.expire_delivered_answers(now_, static_cast<std::size_t>(settings_.window_bytes / 3));
+  image_.expire_delivered_answers(now_, delivered_answers_bytes_max());
   note_needed_records();
   const Sequence keep_from = first_record_to_keep(pressure);
   while (items < limits.items && bytes < limits.bytes && !failed_ && image_.oldest_needed() != 0 &&
          image_.oldest_needed() < keep_from) {
-    const std::size_t written = rewrite_oldest_item();
+    const std::size_t written = rewrite_oldest_item(keep_from);
     if (written == 0) break;
     items++, bytes += written;
   }
--- a/src/journal/coordinator.hpp
+++ b/src/journal/coordinator.hpp
@@ -46,8 +46,13 @@
   // Limits on kept answers; beyond them the oldest is dropped.
   std::size_t answers_max = 100'000, answers_bytes_max = 128 << 20;
   // How long delivered answers of messages with an owner are remembered, as far as they fit into a third of
-  // the window; 0: not at all.
+  // the window; 0: not at all. Those whose message could still come again in its time are owed: they are
+  // remembered however much they take, and has_room_for_message() keeps them within bounds.
   Time delivered_answers_for = 0;
+  // Bytes of records of all messages, answers and owed delivered answers, and of the last alone once all
+  // messages have ended; beyond either no new message is to be accepted.
+  std::uint64_t needed_bytes_max = std::numeric_limits<std::uint64_t>::max();
+  std::uint64_t owed_answers_bytes_max = std::numeric_limits<std::uint64_t>::max();
   // Bytes of records. Items that still need older records are rewritten.
   std::uint64_t window_bytes = 512ull << 20;
   // Bytes of one record. A larger one is not written, and what depends on it does not go on.
@@ -117,6 +122,8 @@
   // True when nothing waits for the journal.
   bool is_idle() const { return waiting_.empty(); }
 
+  // Whether one more message, and its final answer for the time that it is owed, would be within bounds.
+  bool has_room_for_message() const;
   // Whether the record of this message can be written, whatever happens to its attempts later.
   bool may_record(const relay::NewMessage& message) const;
   // The record that a message was accepted.
@@ -191,9 +198,12 @@
   Sequence write_record(Record record);
   // Appends and applies a record that is encoded already. Returns as write_record() does.
   Sequence append_record(const Record& record, std::string bytes);
-  // Writes the item that needs the oldest record anew, if that can be read back and the log has space for it.
-  // Returns the bytes of the record; 0: it was not written.
-  std::size_t rewrite_oldest_item();
+  // Writes the item that needs the oldest record anew, with others of its kind that need records before
+  // `before`, if that can be read back and the log has space for it. Returns the bytes of the record; 0: it
+  // was not written.
+  std::size_t rewrite_oldest_item(Sequence before);
+  // Bytes that delivered answers may take before those that are not owed any more give way.
+  std::size_t delivered_answers_bytes_max() const;
   // The first record that is to be kept: items that need earlier ones are rewritten.
   Sequence first_record_to_keep(SpacePressure pressure);
   // Notes which records are needed by the state after the last one.
--- a/src/journal/records.cpp
+++ b/src/journal/records.cpp
@@ -10,6 +10,7 @@
 
 // Tags, lengths and numbers of a record, beside its texts and its body.
 constexpr std::size_t kMaxFixedBytes = 256;
+constexpr std::uint32_t kRememberedReader = 2;  // the first version that reads record::Remembered
 constexpr std::size_t kMaxAttemptBytes = kMaxAttemptEndpointBytes + 48;
 
 std::string bounded_outcome(const std::string& outcome) { return outcome.substr(0, kMaxOutcomeBytes); }
@@ -56,6 +57,7 @@
     p.set_last(bounded_outcome(r.last)), p.set_destination(r.destination), p.set_tenant(r.tenant);
     p.set_idempotency_key(r.idempotency_key), p.set_owner(r.owner), p.set_fingerprint(r.fingerprint);
     p.set_until(r.until), p.set_remember(r.remember), p.set_handed_over(r.handed_over);
+    p.set_owed_until(r.owed_until);
   }
   void operator()(const record::Gone& r) const { to.mutable_gone()->set_id(r.id); }
   void operator()(const record::Told& r) const {
@@ -66,9 +68,40 @@
     p.set_endpoint(r.endpoint), p.set_health(static_cast<pb::Seen::Health>(r.health));
     p.set_since(r.since), p.set_usual_rate(r.usual_rate);
   }
+  void operator()(const record::Remembered& r) const {
+    to.set_least_reader(kRememberedReader);
+    auto& p = *to.mutable_remembered();
+    MessageId previous = 0;
+    for (const auto& a : r.answers) {
+      p.add_id(static_cast<std::int64_t>(a.id - previous));
+      previous = a.id;
+      p.add_owner_hash(a.owner_hash);
+      p.add_fingerprint(a.fingerprint);
+      p.add_verdict(static_cast<std::uint32_t>(a.verdict));
+      p.add_owed_until(a.owed_until - to.at());
+      p.add_until(a.until - to.at());
+      p.add_come_back(a.come_back);
+    }
+  }
   void operator()(const record::Unknown&) const {}
 };
 
+// False if the lists don't fit together or hold an unknown value.
+bool remembered_from_pb(const pb::Remembered& p, Time at, record::Remembered& r) {
+  const int count = p.id_size();
+  for (const int other : {p.owner_hash_size(), p.fingerprint_size(), p.verdict_size(), p.owed_until_size(),
+                          p.until_size(), p.come_back_size()})
+    if (other != count) return false;
+  MessageId id = 0;
+  for (int i = 0; i < count; i++) {
+    if (p.verdict(i) > static_cast<std::uint32_t>(record::Verdict::failed)) return false;
+    id += static_cast<MessageId>(p.id(i));
+    r.answers.push_back({id, p.owner_hash(i), p.fingerprint(i), static_cast<record::Verdict>(p.verdict(i)),
+                         p.owed_until(i) + at, p.until(i) + at, p.come_back(i)});
+  }
+  return true;
+}
+
 // Moves the body out of `p`.
 record::Taken taken_from_pb(pb::Taken& p) {
   record::Taken r;
@@ -141,6 +174,9 @@
     kind("seen"), text("endpoint", r.endpoint), text("health", kNames[static_cast<int>(r.health)]);
     number("since", r.since), json.Key("usual_rate"), json.Double(r.usual_rate);
   }
+  void operator()(const record::Remembered& r) const {
+    kind("remembered"), number("answers", static_cast<std::int64_t>(r.answers.size()));
+  }
   void operator()(const record::Unknown&) const { kind("of a later version"); }
 };
 
@@ -214,7 +250,8 @@
                                      a.fingerprint(),
                                      a.until(),
                                      a.remember(),
-                                     a.handed_over()};
+                                     a.handed_over(),
+                                     a.owed_until()};
       return {};
     }
     case pb::Record::kGone:
@@ -229,6 +266,13 @@
       record.what = record::Seen{p.seen().endpoint(), static_cast<action::Health>(p.seen().health()),
                                  p.seen().since(), p.seen().usual_rate()};
       return {};
+    case pb::Record::kRemembered: {
+      record::Remembered remembered;
+      if (!remembered_from_pb(p.remembered(), p.at(), remembered))
+        return {Status::malformed, "has lists that don't fit together"};
+      record.what = std::move(remembered);
+      return {};
+    }
     case pb::Record::WHAT_NOT_SET:
       break;
   }
@@ -252,9 +296,11 @@
   return XXH3_64bits_withSeed(message.body.data(), message.body.size(), h);
 }
 
+std::uint64_t hash_of_owner(std::string_view owner) { return XXH3_64bits(owner.data(), owner.size()); }
+
 std::string kind_of(const Record& r) {
-  static constexpr const char* kKinds[] = {"base", "taken", "sending",           "ended", "answered", "gone",
-                                           "told", "seen",  "of a later version"};
+  static constexpr const char* kKinds[] = {"base", "taken", "sending", "ended",      "answered",
+                                           "gone", "told",  "seen",    "remembered", "of a later version"};
   return kKinds[r.what.index()];
 }
 
--- a/src/journal/records.hpp
+++ b/src/journal/records.hpp
@@ -15,13 +15,15 @@
 
 namespace cedarplank::journal {
 
-constexpr std::uint32_t kReaderVersion = 1;  // highest Record.least_reader that this program can read
+constexpr std::uint32_t kReaderVersion = 2;  // highest Record.least_reader that this program can read
 
 // Bounds on what the record of a message may grow by after the message was accepted. Outcomes, and the names
 // of attempts' endpoints, are only shown to people: they are cut when they are encoded.
 constexpr std::size_t kMaxOutcomeBytes = 256;
 constexpr std::size_t kMaxAttemptEndpointBytes = 256;
 constexpr std::size_t kMaxOpenAttempts = 8;  // whose outcome is not known yet; see StateImage
+// Of one record::Remembered. Its size is then below that of any record's limit in use.
+constexpr std::size_t kMaxRememberedPerRecord = 1'000;
 
 // One attempt to deliver a message to an endpoint.
 struct Attempt {
@@ -87,6 +89,21 @@
   Time until = 0;            // the answer is kept until then; 0: not kept
   Time remember = 0;         // once delivered, remembered until then; 0: not at all
   bool handed_over = false;  // already delivered; only remembered
+  Time owed_until = 0;       // until then a repeat of the request may come in its time
+};
+
+// A final answer that was delivered, as far as it is needed to recognize a repeat of its request.
+struct RememberedAnswer {
+  MessageId id = 0;
+  std::uint64_t owner_hash = 0;  // see hash_of_owner()
+  std::uint64_t fingerprint = 0;
+  Verdict verdict = Verdict::failed;
+  Time owed_until = 0, until = 0, come_back = 0;  // as `owed_until`, `remember` and `come_back` of Answered
+};
+
+// Final answers that were delivered. Replaces the earlier records of these messages.
+struct Remembered {
+  std::vector<RememberedAnswer> answers;
 };
 
 // The message was cancelled by the client, or its answer is no longer kept.
@@ -116,7 +133,7 @@
 struct Record {
   Time at = 0;
   std::variant<record::Base, record::Taken, record::Sending, record::Ended, record::Answered, record::Gone,
-               record::Told, record::Seen, record::Unknown>
+               record::Told, record::Seen, record::Remembered, record::Unknown>
       what;
 };
 
@@ -144,6 +161,9 @@
 std::uint64_t fingerprint(const std::string& destination, const std::string& message_class,
                           const relay::NewMessage& message);
 
+// Stands for a message's owner where only equality counts. The same in each version of the program.
+std::uint64_t hash_of_owner(std::string_view owner);
+
 // Name of the record's kind, for counts by kind.
 std::string kind_of(const Record& record);
 MessageId message_id_of(const Record& record);  // 0: not about a message
--- a/src/journal/state_image.cpp
+++ b/src/journal/state_image.cpp
@@ -11,7 +11,11 @@
          a.idempotency_key.size() + a.owner.size();
 }
 
-std::size_t size_of(const StateImage::DeliveredAnswer& end) { return 80 + end.owner.size(); }
+record::RememberedAnswer remembered(const record::Answered& answer) {
+  return {answer.id,       hash_of_owner(answer.owner), answer.fingerprint,
+          answer.verdict,  answer.owed_until,           answer.remember,
+          answer.come_back};
+}
 
 // The attempt may have taken effect.
 void note_run(record::Taken& message, const Attempt& attempt) {
@@ -50,8 +54,11 @@
     }
     for (auto& [id, a] : answers_)
       if (a.answered.until != 0) a.answered.until += r.shift, answers_by_expiry_[{a.answered.until, id}] = 0;
-    for (auto& [id, end] : delivered_answers_) end.until += r.shift;
-    for (auto& [until, id] : delivered_expiry_) until += r.shift;
+    owed_answers_.clear(), surplus_answers_.clear();
+    for (auto& [id, delivered] : delivered_answers_) {
+      delivered.answer.until += r.shift, delivered.answer.owed_until += r.shift;
+      owed_answers_.emplace(delivered.answer.owed_until, id);
+    }
     for (auto& [id, w] : waits_) w.first.until += r.shift;
     for (auto& [id, h] : health_) h.first.since += r.shift;
   }
@@ -101,7 +108,7 @@
 void StateImage::on(Sequence s, Time, const record::Answered& r) {
   next_id_ = std::max(next_id_, r.id + 1);
   drop_held(r.id), drop_answer(r.id), drop_delivered(r.id);
-  if (r.handed_over) return add_delivered(s, r);
+  if (r.handed_over) return add_delivered(s, remembered(r));
   if (r.until == 0) return;
   Answer& a = answers_[r.id];
   a.answered = r;
@@ -117,42 +124,69 @@
   if (it == answers_.end()) return;
   const Answer answer = it->second;
   drop_answer(r.id);
-  if (answer.answered.remember > at) add_delivered(answer.needed_from, answer.answered);
+  if (answer.answered.remember > at) add_delivered(answer.needed_from, remembered(answer.answered));
 }
 
-record::Answered StateImage::DeliveredAnswer::as_record(MessageId id) const {
-  record::Answered answer;
-  answer.id = id, answer.verdict = verdict, answer.come_back = come_back, answer.owner = owner;
-  answer.fingerprint = fingerprint, answer.remember = until, answer.handed_over = true;
-  return answer;
+void StateImage::on(Sequence s, Time, const record::Remembered& r) {
+  for (const auto& answer : r.answers) {
+    next_id_ = std::max(next_id_, answer.id + 1);
+    drop_held(answer.id), drop_answer(answer.id), drop_delivered(answer.id);
+    add_delivered(s, answer);
+  }
 }
 
-void StateImage::add_delivered(Sequence s, const record::Answered& answer) {
-  DeliveredAnswer& end = delivered_answers_[answer.id];
-  end.owner = answer.owner, end.verdict = answer.verdict, end.come_back = answer.come_back;
-  end.until = answer.remember, end.fingerprint = answer.fingerprint;
-  delivered_bytes_ += size_of(end);
-  delivered_expiry_.emplace_back(end.until, answer.id);
-  set_needed_record(end.needed_from, s, {Kind::delivered, answer.id, {}});
+void StateImage::add_delivered(Sequence s, const record::RememberedAnswer& answer) {
+  DeliveredAnswer& delivered = delivered_answers_[answer.id];
+  delivered.answer = answer;
+  owed_answers_.emplace(answer.owed_until, answer.id);
+  set_delivered_record(delivered, s);
 }
 
 void StateImage::drop_delivered(MessageId id) {
   const auto it = delivered_answers_.find(id);
   if (it == delivered_answers_.end()) return;
-  delivered_bytes_ -= size_of(it->second);
-  items_by_record_.erase(it->second.needed_from);
+  owed_answers_.erase({it->second.answer.owed_until, id});
+  surplus_answers_.erase({it->second.answer.until, id});
+  set_delivered_record(it->second, 0);
   delivered_answers_.erase(it);
 }
 
+// A record is needed as long as one of its answers is remembered.
+void StateImage::set_delivered_record(DeliveredAnswer& delivered, Sequence sequence) {
+  const MessageId id = delivered.answer.id;
+  if (const Sequence earlier = delivered.needed_from; earlier != 0) {
+    delivered_by_record_.erase({earlier, id});
+    const auto next = delivered_by_record_.lower_bound({earlier, 0});
+    if (next == delivered_by_record_.end() || next->first != earlier) items_by_record_.erase(earlier);
+  }
+  delivered.needed_from = sequence;
+  if (sequence == 0) return;
+  delivered_by_record_.emplace(sequence, id);
+  items_by_record_[sequence] = {Kind::delivered, 0, {}};
+}
+
 void StateImage::expire_delivered_answers(Time now, std::size_t bytes_max) {
-  while (!delivered_expiry_.empty()) {
-    const auto [until, id] = delivered_expiry_.front();
-    if (until > now && delivered_bytes_ <= bytes_max) return;
-    delivered_expiry_.pop_front();
+  while (!owed_answers_.empty() && owed_answers_.begin()->first <= now) {
+    const MessageId id = owed_answers_.begin()->second;
+    owed_answers_.erase(owed_answers_.begin());
+    surplus_answers_.emplace(delivered_answers_.at(id).answer.until, id);
+  }
+  while (!surplus_answers_.empty()) {
+    const auto [until, id] = *surplus_answers_.begin();
+    if (until > now && delivered_answers_.size() * kDeliveredAnswerBytes <= bytes_max) return;
     drop_delivered(id);
   }
 }
 
+std::vector<record::Remembered> StateImage::remembered_records() const {
+  std::vector<record::Remembered> records;
+  for (const auto& [id, delivered] : delivered_answers_) {
+    if (records.empty() || records.back().answers.size() == kMaxRememberedPerRecord) records.emplace_back();
+    records.back().answers.push_back(delivered.answer);
+  }
+  return records;
+}
+
 void StateImage::on(Sequence s, Time at, const record::Told& r) {
   auto& w = waits_[r.endpoint];
   // A told wait is never shortened. A record with the same end is a rewrite, and the item then depends on it.
@@ -206,7 +240,7 @@
   return it == ids_by_key_.end() ? std::nullopt : std::optional(it->second);
 }
 
-Record StateImage::oldest_item_record(Time now) const {
+Record StateImage::oldest_item_record(Time now, Sequence before) const {
   const auto& [kind, id, endpoint] = items_by_record_.begin()->second;
   switch (kind) {
     case Kind::base: {
@@ -218,8 +252,16 @@
       return {now, held_.at(id).state};
     case Kind::answer:
       return {now, answers_.at(id).answered};
-    case Kind::delivered:
-      return {now, delivered_answers_.at(id).as_record(id)};
+    case Kind::delivered: {
+      const Sequence oldest = items_by_record_.begin()->first;
+      record::Remembered all;
+      for (const auto& [sequence, answer_id] : delivered_by_record_) {
+        if (sequence != oldest && sequence >= before) break;
+        if (all.answers.size() == kMaxRememberedPerRecord) break;
+        all.answers.push_back(delivered_answers_.at(answer_id).answer);
+      }
+      return {now, std::move(all)};
+    }
     case Kind::wait:
       return {now, waits_.at(endpoint).first};
     case Kind::health:
--- a/src/journal/state_image.hpp
+++ b/src/journal/state_image.hpp
@@ -5,11 +5,14 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 #include "journal/records.hpp"
 
@@ -39,17 +42,21 @@
   // A final answer that was delivered. Nothing more is to be sent; it is remembered so that a repeat of the
   // message is recognized.
   struct DeliveredAnswer {
-    std::string owner;
-    record::Verdict verdict = record::Verdict::failed;
-    Time come_back = 0, until = 0;  // `until`: remembered until then
-    std::uint64_t fingerprint = 0;
-    Sequence needed_from = 0;
-    record::Answered as_record(MessageId id) const;
+    record::RememberedAnswer answer;
+    Sequence needed_from = 0;  // the record that holds it, perhaps with others
   };
   const std::map<MessageId, DeliveredAnswer>& delivered_answers() const { return delivered_answers_; }
-  // Forgets delivered answers whose time is up, and the oldest ones beyond `bytes_max`. Writes no record:
-  // after a restart they are read from the log and forgotten again.
+  // Forgets delivered answers whose time is up. While all together take more than `bytes_max`, also forgets
+  // the oldest of those that are not owed any more; owed ones stay. Writes no record: after a restart they
+  // are read from the log and forgotten again.
   void expire_delivered_answers(Time now, std::size_t bytes_max);
+  // Delivered answers that were owed at the last call of expire_delivered_answers(), or came since.
+  std::size_t owed_answers() const { return owed_answers_.size(); }
+  // All delivered answers, in records of a bounded size.
+  std::vector<record::Remembered> remembered_records() const;
+  static constexpr std::size_t kDeliveredAnswerBytes = 28;  // of one in the log, in a record of many
+  // Bytes of memory of one, beyond its approximate size in the log: nodes of three maps.
+  static constexpr std::size_t kDeliveredAnswerMemory = 200;
   const std::map<EndpointId, std::pair<record::Told, Sequence>>& waits() const { return waits_; }
   const std::map<EndpointId, std::pair<record::Seen, Sequence>>& health() const { return health_; }
   const record::Base& base() const { return base_; }
@@ -66,13 +73,20 @@
   // The oldest record that is still needed; 0: none.
   Sequence oldest_needed() const { return items_by_record_.empty() ? 0 : items_by_record_.begin()->first; }
   // The item of the oldest needed record, complete in one new record. Once that is written and applied, the
-  // item depends on the new record only. Needs oldest_needed() != 0.
-  Record oldest_item_record(Time now) const;
+  // item depends on the new record only. Delivered answers are small: the record holds also others that need
+  // records before `before`. Needs oldest_needed() != 0.
+  Record oldest_item_record(Time now, Sequence before = std::numeric_limits<Sequence>::max()) const;
   // The kept answer that expires first, if its time is up or the answers exceed a limit; 0: none.
   MessageId find_expired_answer(Time now, std::size_t answers_max, std::size_t bytes_max) const;
   std::size_t item_count() const { return items_by_record_.size(); }
   // Approximate size in the log of all that is needed.
-  std::size_t approximate_bytes() const { return answer_bytes_ + held_bytes_ + delivered_bytes_; }
+  std::size_t approximate_bytes() const {
+    return answer_bytes_ + held_bytes_ + delivered_answers_.size() * kDeliveredAnswerBytes;
+  }
+  // Without the delivered answers that are not owed any more, which give way.
+  std::size_t approximate_owed_bytes() const {
+    return answer_bytes_ + held_bytes_ + owed_answers_.size() * kDeliveredAnswerBytes;
+  }
   // The part of a held message.
   static std::size_t approximate_bytes_of(const relay::NewMessage& message);
 
@@ -86,7 +100,9 @@
   void set_needed_record(Sequence& current, Sequence sequence, Item item);
   void drop_held(MessageId id);
   void drop_answer(MessageId id);
-  void add_delivered(Sequence s, const record::Answered& answer);
+  void add_delivered(Sequence s, const record::RememberedAnswer& answer);
+  // Records that a delivered answer now depends on the record `sequence`; 0: on none.
+  void set_delivered_record(DeliveredAnswer& delivered, Sequence sequence);
   void drop_delivered(MessageId id);
   void on(Sequence s, Time at, const record::Base& r);
   void on(Sequence s, Time at, const record::Taken& r);
@@ -96,19 +112,23 @@
   void on(Sequence s, Time at, const record::Gone& r);
   void on(Sequence s, Time at, const record::Told& r);
   void on(Sequence s, Time at, const record::Seen& r);
+  void on(Sequence s, Time at, const record::Remembered& r);
   void on(Sequence, Time, const record::Unknown&) {}
 
   std::map<MessageId, Held> held_;
   std::map<MessageId, Answer> answers_;
   std::map<MessageId, DeliveredAnswer> delivered_answers_;
-  std::deque<std::pair<Time, MessageId>> delivered_expiry_;  // in the order in which they were added
+  // Of all delivered answers: those that are owed, by the end of that time, and the others, by the time until
+  // which they are remembered.
+  std::set<std::pair<Time, MessageId>> owed_answers_, surplus_answers_;
+  std::set<std::pair<Sequence, MessageId>> delivered_by_record_;  // by the record that they need
   std::map<EndpointId, std::pair<record::Told, Sequence>> waits_;
   std::map<EndpointId, std::pair<record::Seen, Sequence>> health_;
   std::map<RequestKey, MessageId> ids_by_key_;
   std::map<std::pair<Time, MessageId>, char>
-      answers_by_expiry_;                     // kept answers by expiry; the value is unused
-  std::map<Sequence, Item> items_by_record_;  // items by the record that they need
-  std::size_t answer_bytes_ = 0, held_bytes_ = 0, delivered_bytes_ = 0;  // approximate
+      answers_by_expiry_;                          // kept answers by expiry; the value is unused
+  std::map<Sequence, Item> items_by_record_;       // items by the record that they need
+  std::size_t answer_bytes_ = 0, held_bytes_ = 0;  // approximate
   record::Base base_;
   Sequence base_needed_from_ = 0;
   Time last_record_time_ = 0;
--- a/src/platform/final_answer_table.cpp
+++ b/src/platform/final_answer_table.cpp
@@ -1,14 +1,6 @@
 #include "platform/final_answer_table.hpp"
 
-#include <xxhash.h>
-
 namespace cedarplank::platform {
-namespace {
-
-// With 64 bits, two different ids are mistaken for one once in 10^15.
-std::uint64_t hash_of(const std::string& id) { return XXH3_64bits(id.data(), id.size()); }
-
-}  // namespace
 
 const char* name_of(RequestState state) {
   switch (state) {
@@ -26,17 +18,16 @@
   return "unknown";
 }
 
-void FinalAnswerTable::add(const std::string& id, const FinalAnswer& answer) {
+void FinalAnswerTable::add(std::uint64_t id_hash, const FinalAnswer& answer) {
   forget_old(answer.since);
-  const auto hash = hash_of(id);
-  if (!answers_.emplace(hash, answer).second) return;
-  by_age_.push_back({answer.since, hash});
+  if (!answers_.emplace(id_hash, answer).second) return;
+  by_age_.push_back({answer.since, id_hash});
   forget_old(answer.since);
 }
 
 const FinalAnswer* FinalAnswerTable::find(Time now, const std::string& id) {
   forget_old(now);
-  const auto it = answers_.find(hash_of(id));
+  const auto it = answers_.find(journal::hash_of_owner(id));
   return it == answers_.end() ? nullptr : &it->second;
 }
 
--- a/src/platform/final_answer_table.hpp
+++ b/src/platform/final_answer_table.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "journal/records.hpp"
 #include "loop/loop.hpp"
 
 namespace cedarplank::platform {
@@ -35,8 +36,11 @@
   FinalAnswerTable(Time retention, std::size_t most, WhenFull when_full)
       : retention_(retention), most_(most), when_full_(when_full) {}
 
-  // Adds an answer, unless there is one for this request already: the first one counts.
-  void add(const std::string& id, const FinalAnswer& answer);
+  // Adds an answer, unless there is one for this request already: the first one counts. `id_hash`:
+  // journal::hash_of_owner() of the client's id. With 64 bits, two different ids are mistaken for one once in
+  // 10^15.
+  void add(std::uint64_t id_hash, const FinalAnswer& answer);
+  void add(const std::string& id, const FinalAnswer& answer) { add(journal::hash_of_owner(id), answer); }
   // The answer for this request; null: none is remembered.
   const FinalAnswer* find(Time now, const std::string& id);
   // Whether there is room for so many more.
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -1,6 +1,7 @@
 #include "platform/journal.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <stdexcept>
 
 #include "node/clock.hpp"
@@ -58,7 +59,12 @@
   // The log holds its window plus the records carried forward. The rest is reserved for the records that
   // finish messages already accepted.
   k.window_bytes = log_settings_.segment_size * log_settings_.segments_max / 4;
-  k.answers_bytes_max = static_cast<std::size_t>(k.window_bytes / 2);
+  // What is owed has room of its own, and new messages are refused when that is full. No answer that is still
+  // to be told gives way to others.
+  const std::uint64_t log_bytes = log_settings_.segment_size * log_settings_.segments_max;
+  k.needed_bytes_max = log_bytes / 3;
+  k.owed_answers_bytes_max = log_bytes / 6;
+  k.answers_bytes_max = std::numeric_limits<std::size_t>::max();
   k.record_bytes_max = log_settings_.record_size_max;
   coordinator_ = std::make_unique<journal::JournalCoordinator>(
       std::move(k), std::move(image),
@@ -161,7 +167,7 @@
   for (const auto& [endpoint, wait] : image.waits()) write(wait.first);
   for (const auto& [endpoint, seen] : image.health()) write(seen.first);
   for (const auto& [message, answer] : image.answers()) write(answer.answered);
-  for (const auto& [message, end] : image.delivered_answers()) write(end.as_record(message));
+  for (auto& remembered : image.remembered_records()) write(std::move(remembered));
   for (const auto& [message, held] : image.held()) write(held.state);
   image = std::move(fresh);
 }
@@ -238,8 +244,8 @@
   if (stalled()) return "the journal can't be written now";
   if (!coordinator_->may_record(message)) return "the journal takes no record so large";
   // Planned segments, because all messages of a turn are written at its end.
-  const bool room = log_->planned_segments() <= log_settings_.segments_max * 2 / 3 &&
-                    image().approximate_bytes() < log_settings_.segment_size * log_settings_.segments_max / 3;
+  const bool room =
+      log_->planned_segments() <= log_settings_.segments_max * 2 / 3 && coordinator_->has_room_for_message();
   return room ? nullptr : "the journal has no room now";
 }
 
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -494,8 +494,10 @@
 }
 
 void Relay::count_messages() {
-  memory_.set(MemoryUse::messages, kCopiesOfMessage * journal_->image().approximate_bytes() +
-                                       journal_->image().held().size() * kHeldMessageOverhead);
+  memory_.set(MemoryUse::messages,
+              kCopiesOfMessage * journal_->image().approximate_bytes() +
+                  journal_->image().held().size() * kHeldMessageOverhead +
+                  journal_->image().delivered_answers().size() * journal::StateImage::kDeliveredAnswerMemory);
 }
 
 void Relay::count_memory() {
--- a/src/platform/relay_counts.cpp
+++ b/src/platform/relay_counts.cpp
@@ -40,7 +40,9 @@
                  memory_.used(static_cast<MemoryUse>(use)));
   text += pair("unfinished", unfinished.requests) + pair("waiting_for_room", unfinished.waiting_for_room) +
           pair("oldest_unfinished_ms", static_cast<std::uint64_t>(unfinished.oldest) / 1000) +
-          pair("ends_remembered", requests_.remembered());
+          pair("ends_remembered", requests_.remembered()) +
+          pair("ends_in_journal", journal_->image().delivered_answers().size()) +
+          pair("ends_owed_in_journal", journal_->image().owed_answers());
   // Attempts by the outcome reported to the dispatcher: their number and mean duration.
   static constexpr const char* kOutcomes[] = {"ok",    "error",     "full",    "timeout", "connect_failed",
                                               "reset", "cancelled", "not_sent"};
--- a/src/platform/relay_recovery.cpp
+++ b/src/platform/relay_recovery.cpp
@@ -98,17 +98,19 @@
 
 void Relay::recover_final_answers(Time now) {
   const auto& image = journal_->coordinator().image();
-  const auto remember = [&](const std::string& name, std::uint64_t fingerprint,
+  const auto remember = [&](std::uint64_t name_hash, std::uint64_t fingerprint,
                             journal::record::Verdict verdict, Time come_back, Time until) {
     const Time ended_at = std::min(now, until - final_answer_retention(config_.settings));
-    requests_.remember_end(name,
+    requests_.remember_end(name_hash,
                            {state_of(verdict), fingerprint, now, come_back > 0 ? ended_at + come_back : 0});
   };
-  for (const auto& [id, end] : image.delivered_answers())
-    remember(end.owner, end.fingerprint, end.verdict, end.come_back, end.until);
+  for (const auto& [id, delivered] : image.delivered_answers()) {
+    const auto& is = delivered.answer;
+    remember(is.owner_hash, is.fingerprint, is.verdict, is.come_back, is.until);
+  }
   for (const auto& [id, answer] : image.answers()) {
     const auto& is = answer.answered;
-    remember(is.owner, is.fingerprint, is.verdict, is.come_back, is.remember);
+    remember(journal::hash_of_owner(is.owner), is.fingerprint, is.verdict, is.come_back, is.remember);
   }
 }
 
--- a/src/platform/request_registry.hpp
+++ b/src/platform/request_registry.hpp
@@ -81,6 +81,8 @@
   // Remembers the final state of a request that is not held any more: one that was cancelled, or ended in an
   // earlier run.
   void remember_end(const std::string& name, const FinalAnswer& answer) { ends_.add(name, answer); }
+  // The same, by journal::hash_of_owner() of the client's id.
+  void remember_end(std::uint64_t name_hash, const FinalAnswer& answer) { ends_.add(name_hash, answer); }
   // Remembers that a request was refused of which nothing has run and that was never acknowledged.
   void remember_refusal(Time now, const std::string& name, std::uint64_t fingerprint) {
     refusals_.add(name, {RequestState::returned, fingerprint, now});
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -29,7 +29,7 @@
   std::string text;
   for (const auto& [id, h] : image.held()) text += encode({0, h.state}) + "\n";
   for (const auto& [id, a] : image.answers()) text += encode({0, a.answered}) + "\n";
-  for (const auto& [id, end] : image.delivered_answers()) text += encode({0, end.as_record(id)}) + "\n";
+  for (const auto& all : image.remembered_records()) text += encode({0, all}) + "\n";
   for (const auto& [id, w] : image.waits()) text += encode({0, w.first}) + "\n";
   for (const auto& [id, h] : image.health()) text += encode({0, h.first}) + "\n";
   return text + std::to_string(image.next_id());
@@ -50,13 +50,16 @@
   // Reading only the rewritten record gives the same state.
   StateImage later;
   Record anew;
-  const auto bytes = encode({40, image.delivered_answers().at(7).as_record(7)});
+  ASSERT_EQ(image.remembered_records().size(), 1u);
+  const auto bytes = encode({40, image.remembered_records().front()});
   ASSERT_TRUE(decode(bytes, anew).ok());
   later.apply(1, anew);
   ASSERT_EQ(later.delivered_answers().count(7), 1u);
-  EXPECT_EQ(later.delivered_answers().at(7).owner, "o");
-  EXPECT_EQ(later.delivered_answers().at(7).fingerprint, 9u);
-  EXPECT_EQ(later.delivered_answers().at(7).verdict, record::Verdict::failed);
+  const auto& read_back = later.delivered_answers().at(7).answer;
+  EXPECT_EQ(read_back.owner_hash, hash_of_owner("o"));
+  EXPECT_EQ(read_back.fingerprint, 9u);
+  EXPECT_EQ(read_back.verdict, record::Verdict::failed);
+  EXPECT_EQ(read_back.until, 5'000);
   later.apply(2, {50, taken(7, kS)});
   EXPECT_TRUE(later.held().empty());
   image.expire_delivered_answers(4'999, 10'000);
@@ -122,7 +125,6 @@
     }
     const auto before = text_of(image);
     StateImage later;
-    const std::size_t items = image.item_count();
     for (const Sequence from = next; image.oldest_needed() < from;) {
       const auto r = image.oldest_item_record(400);
       Record again;
@@ -131,7 +133,7 @@
     }
     EXPECT_EQ(text_of(image), before);
     EXPECT_EQ(text_of(later), before);
-    EXPECT_EQ(later.item_count(), items);
+    EXPECT_EQ(later.item_count(), image.item_count());
   }
 }
 
@@ -155,8 +157,8 @@
 
 TEST(Records, ALaterVersionsAreRefusedOrPassedOverAsTheySay) {
   Record r;
-  EXPECT_EQ(decode(std::string("\x10\x02", 2), r).status,
-            DecodeResult::Status::newer_version);               // least_reader 2
+  EXPECT_EQ(decode(std::string("\x10\x03", 2), r).status,
+            DecodeResult::Status::newer_version);               // least_reader 3
   EXPECT_TRUE(decode(std::string("\xa2\x06\x00", 3), r).ok());  // an unknown kind
   EXPECT_TRUE(std::holds_alternative<record::Unknown>(r.what));
   EXPECT_EQ(decode("\xff\xff", r).status, DecodeResult::Status::malformed);
--- a/tests/platform_journal_test.cpp
+++ b/tests/platform_journal_test.cpp
@@ -48,9 +48,14 @@
   std::set<MessageId> acknowledged, sent, answered;
 };
 
-std::unique_ptr<Journal> open(loop::Loop& loop, testing::FaultyFiles& files, RecordingHost& host) {
+constexpr std::uint64_t kDisk = 3'000'000;  // bytes
+
+// `delivered_answers_for`: how long delivered answers are remembered; 0: not at all.
+std::unique_ptr<Journal> open(loop::Loop& loop, testing::FaultyFiles& files, RecordingHost& host,
+                              std::uint64_t disk = kDisk, Time delivered_answers_for = 0) {
   Journal::Settings settings;
-  settings.folder = "folder", settings.disk = 3'000'000;
+  settings.folder = "folder", settings.disk = disk;
+  settings.coordinator.delivered_answers_for = delivered_answers_for;
   settings.open = [&files](const std::string&) { return std::make_unique<SharedFolder>(files); };
   ClassSettings safe, unsafe;
   safe.effect = Effect::safe, unsafe.effect = Effect::unsafe;
@@ -356,5 +361,128 @@
   EXPECT_EQ(journal->image().held().size(), 1u);
 }
 
+// What the next process knows of messages that have ended.
+class EndedMessages : public ::testing::Test {
+ protected:
+  static constexpr Time kDeadline = 24'000'000;    // of a message, us
+  static constexpr Time kRemembered = 60'000'000;  // us
+  static constexpr std::size_t kMessagesPerTurn = 50;
+  static constexpr MessageId kMoreThanFit = 60'000;  // into the room of either folder
+
+  void open_journal(std::uint64_t disk = kDisk) {
+    journal.reset();
+    journal = open(loop, files, host, disk, kRemembered);
+  }
+  // Accepts one more message. Returns false if it is refused.
+  bool accept(Time deadline = kDeadline) {
+    auto message = std::make_shared<relay::NewMessage>();
+    message->owner = "9b1f03aa-5c7e-42d4-8a05-" + std::to_string(next_id), message->body = "10 crates";
+    if (journal->rejection_reason(*message) != nullptr) return false;
+    journal->coordinator().set_time(loop.now());
+    journal->coordinator().message_accepted(next_id++, message, loop.now() + deadline);
+    return true;
+  }
+  void deliver(MessageId id) {
+    journal->coordinator().served(id, {});
+    journal->commit();
+    journal->coordinator().answer_delivered(id);
+  }
+  // Accepts and delivers so many messages, with the upkeep that the relay's loop does.
+  void pass(std::size_t messages) {
+    for (std::size_t i = 0; i < messages; i++) {
+      ASSERT_TRUE(accept()) << "message " << next_id;
+      deliver(next_id - 1);
+      if (i % kMessagesPerTurn == 0) loop.run_once(5'000);
+    }
+    run_upkeep();
+  }
+  void run_upkeep() {
+    const Time end = loop::monotonic_now() + 55'000;  // its interval is 50 ms
+    while (loop::monotonic_now() < end) loop.run_once(5'000);
+    journal->commit();
+  }
+  // Accepts one more message, once upkeep has made room if there is none.
+  bool accept_after_upkeep(Time deadline = kDeadline) {
+    if (accept(deadline)) return true;
+    run_upkeep();
+    return accept(deadline);
+  }
+  bool is_known(MessageId id) const {
+    const auto& image = journal->image();
+    return image.held().count(id) > 0 || image.answers().count(id) > 0 ||
+           image.delivered_answers().count(id) > 0;
+  }
+  void expect_all_known() {
+    for (MessageId id = 1; id < next_id; id++) ASSERT_TRUE(is_known(id)) << "message " << id;
+  }
+
+  testing::FaultyFiles files{1};
+  loop::Loop loop;
+  RecordingHost host;
+  std::unique_ptr<Journal> journal;
+  MessageId next_id = 1;
+};
+
+// Guards against a delivered message that comes again in its time after a kill and runs twice, because a
+// crowd of later messages has pushed its end out of the folder.
+TEST_F(EndedMessages, ACrowdOfOthersPushesOutNoEndThatIsOwed) {
+  open_journal();
+  for (int kills = 0; kills < 3; kills++) {
+    pass(2'800);
+    open_journal();  // as after a kill
+    expect_all_known();
+  }
+}
+
+// Guards against ends that are lost when the process is killed again and again while it writes them anew.
+TEST_F(EndedMessages, EndsOutliveKillsWhileTheyAreWrittenAnew) {
+  open_journal();
+  for (int kills = 0; kills < 60; kills++) {
+    for (int i = 0; i < 100; i++) {
+      ASSERT_TRUE(accept());
+      deliver(next_id - 1);
+    }
+    run_upkeep();
+    for (int i = 0; i < kills % 5; i++) ASSERT_TRUE(accept());  // not committed
+    next_id -= static_cast<MessageId>(kills % 5);
+    open_journal();
+    expect_all_known();
+  }
+}
+
+// Guards against ends that are forgotten in their time, or a log that runs full, where the folder is too
+// small for all: new messages are refused instead.
+TEST_F(EndedMessages, NewMessagesAreRefusedBeforeAnOwedEndIsForgotten) {
+  open_journal(1'000'000);
+  while (next_id < kMoreThanFit && accept_after_upkeep()) deliver(next_id - 1);
+  EXPECT_LT(next_id, kMoreThanFit);
+  EXPECT_FALSE(journal->stalled());
+  EXPECT_GT(next_id, 4'000u);
+  open_journal(1'000'000);
+  expect_all_known();
+}
+
+// Guards against notices that a restart no longer owes, because later ones have pushed them out.
+TEST_F(EndedMessages, NoAnswerThatIsStillToBeToldIsPushedOut) {
+  open_journal();
+  while (next_id < kMoreThanFit && accept_after_upkeep()) {
+    journal->coordinator().failed(next_id - 1, {});
+    journal->commit();
+  }
+  EXPECT_FALSE(journal->stalled());
+  run_upkeep();
+  open_journal();
+  EXPECT_EQ(journal->image().answers().size(), next_id - 1);
+}
+
+// Guards against refusals for ends that nobody is owed any more: they give way to new messages.
+TEST_F(EndedMessages, EndsWhoseTimeIsUpGiveWay) {
+  open_journal(1'000'000);
+  for (int i = 0; i < 12'000; i++) {
+    ASSERT_TRUE(accept_after_upkeep(-2'000'000)) << "message " << next_id;
+    deliver(next_id - 1);
+  }
+}
+
 }  // namespace
 }  // namespace cedarplank::platform
