Platform: one choice of the connection for the next request to discovery

Need: notices and lists each chose an idle connection, or the oldest one, by the same lines. Change: exchange_choice.hpp holds the two searches; both use them.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "platform/exchange_choice.hpp"
+
 namespace cedarplank::platform {
 namespace {
 
@@ -57,28 +59,14 @@
 }
 
 DiscoveryClient::Call& DiscoveryClient::find_connection() {
-  Call* idle = nullptr;
-  Call* oldest = nullptr;
-  for (const auto& call : calls_) {
-    if (call->client.busy()) {
-      if (oldest == nullptr || call->number < oldest->number) oldest = call.get();
-    } else if (idle == nullptr || (call->client.connected() && !idle->client.connected())) {
-      idle = call.get();
-    }
-  }
-  if (idle != nullptr) return *idle;
+  if (Call* idle = find_idle(calls_)) return *idle;
+  Call* oldest = find_oldest(calls_);
   oldest->client.cancel();
   return *oldest;
 }
 
 void DiscoveryClient::open_next_connection() {
-  Call* idle = nullptr;
-  for (const auto& call : calls_) {
-    if (call->client.busy()) continue;
-    if (call->client.connected()) return;
-    if (idle == nullptr) idle = call.get();
-  }
-  if (idle != nullptr) idle->client.open_ahead();
+  if (Call* idle = find_idle(calls_)) idle->client.open_ahead();
 }
 
 // The first call of a watch does not wait: it returns the changes that were missed. Without a known list the
@@ -88,7 +76,7 @@
                                         : "/catalog/members?after=" + std::to_string(index_) +
                                               "&wait_ms=" + std::to_string(wait / 1000);
   Call& call = find_connection();
-  call.number = ++last_call_;
+  call.order = ++last_call_;
   call.lists_before = lists_received_;
   reported_failed_ = false;
   loop_.cancel(late_timer_);
@@ -104,18 +92,18 @@
 
 bool DiscoveryClient::newer_call_out(const Call& call) const {
   for (const auto& other : calls_)
-    if (other->client.busy() && other->number > call.number) return true;
+    if (other->client.busy() && other->order > call.order) return true;
   return false;
 }
 
-void DiscoveryClient::cancel_calls_before(std::uint64_t number) {
+void DiscoveryClient::cancel_calls_before(std::uint64_t order) {
   for (const auto& call : calls_)
-    if (call->client.busy() && call->number < number) call->client.cancel();
-  if (number > last_call_) loop_.cancel(late_timer_), late_timer_ = 0;
+    if (call->client.busy() && call->order < order) call->client.cancel();
+  if (order > last_call_) loop_.cancel(late_timer_), late_timer_ = 0;
 }
 
 void DiscoveryClient::handle_answer(const Call& call, const http1::Message* answer, const std::string& why) {
-  if (call.number == last_call_) loop_.cancel(late_timer_), late_timer_ = 0;
+  if (call.order == last_call_) loop_.cancel(late_timer_), late_timer_ = 0;
   if (answer == nullptr || answer->status != 200)
     return fail(call, answer == nullptr ? why : "answered " + std::to_string(answer->status));
   Catalogue catalogue;
@@ -124,7 +112,7 @@
   } catch (const settings::FieldError& bad) {
     return fail(call, bad.what());
   }
-  cancel_calls_before(call.number);
+  cancel_calls_before(call.order);
   handle_catalogue(call, catalogue);
 }
 
@@ -157,7 +145,7 @@
 
 void DiscoveryClient::fail(const Call& call, const std::string& why) {
   host_.log(why);
-  if (call.number != last_call_ || reported_failed_) return;
+  if (call.order != last_call_ || reported_failed_) return;
   reported_failed_ = report_first_answer_ = true;
   host_.failed(Failure::ended);
 }
--- a/src/platform/discovery.hpp
+++ b/src/platform/discovery.hpp
@@ -52,7 +52,7 @@
     Call(loop::Loop& loop, const std::string& address, http1::Bounds bounds)
         : client(loop, address, bounds) {}
     HttpClient client;
-    std::uint64_t number = 0;        // in the order in which they were sent
+    std::uint64_t order = 0;         // of the call among all
     std::uint64_t lists_before = 0;  // lists that had been received when it was sent
   };
   // Sends a call. `wait`: how long discovery may wait for changes.
@@ -68,14 +68,14 @@
   void handle_late_answer();
   void fail(const Call& call, const std::string& why);
   bool newer_call_out(const Call& call) const;
-  void cancel_calls_before(std::uint64_t number);
+  void cancel_calls_before(std::uint64_t order);
 
   loop::Loop& loop_;
   const settings::NameTables& names_;
   Host host_;
   std::vector<std::unique_ptr<Call>> calls_;
   std::int64_t index_ = -1;  // of the list that is known; -1: none, or it came from another discovery service
-  std::uint64_t last_call_ = 0;       // number of the latest call
+  std::uint64_t last_call_ = 0;       // order of the latest call
   std::uint64_t lists_received_ = 0;  // answers that were read
   bool watching_ = false;
   bool reported_failed_ = false;      // the failure of the latest call was reported
--- a/src/platform/notice_sender.cpp
+++ b/src/platform/notice_sender.cpp
@@ -1,7 +1,8 @@
 #include "platform/notice_sender.hpp"
 
 #include <algorithm>
-#include <limits>
+
+#include "platform/exchange_choice.hpp"
 
 namespace cedarplank::platform {
 namespace {
@@ -61,16 +62,10 @@
 }
 
 Time NoticeSender::next_post_at() const {
-  Time oldest = std::numeric_limits<Time>::max();
-  std::size_t busy = 0;
-  for (const auto& post : posts_) {
-    if (!post->client.busy()) continue;
-    busy++;
-    oldest = std::min(oldest, post->sent_at);
-  }
-  if (busy == 0) return 0;
+  const Post* oldest = find_oldest(posts_);
+  if (oldest == nullptr) return 0;
   const Time interval_end = last_post_at_ + kPostInterval;
-  return busy < posts_.size() ? interval_end : std::max(interval_end, oldest + kGiveUpAfter);
+  return find_idle(posts_) != nullptr ? interval_end : std::max(interval_end, oldest->sent_at + kGiveUpAfter);
 }
 
 void NoticeSender::schedule() {
@@ -91,16 +86,8 @@
 }
 
 NoticeSender::Post* NoticeSender::find_connection() {
-  Post* idle = nullptr;
-  Post* oldest = nullptr;
-  for (const auto& post : posts_) {
-    if (post->client.busy()) {
-      if (oldest == nullptr || post->sent_at < oldest->sent_at) oldest = post.get();
-    } else if (idle == nullptr || (post->client.connected() && !idle->client.connected())) {
-      idle = post.get();
-    }
-  }
-  if (idle != nullptr) return idle;
+  if (Post* idle = find_idle(posts_)) return idle;
+  Post* oldest = find_oldest(posts_);
   if (loop_.now() < oldest->sent_at + kGiveUpAfter) return nullptr;
   host_.log("no answer in " + std::to_string((loop_.now() - oldest->sent_at) / 1000) + " ms");
   oldest->client.cancel();
@@ -133,7 +120,7 @@
     counts_.repeated_notices += std::exchange(notice.posted, true);
     set_due(number, post.sent_at + kRepeatAfter);
   }
-  counts_.posts++;
+  post.order = ++counts_.posts;
   post.client.send(
       "POST", "/v1/outcomes", body,
       [this, &post](const http1::Message* a, const std::string& why) { handle_answer(post, a, why); });
--- a/src/platform/notice_sender.hpp
+++ b/src/platform/notice_sender.hpp
@@ -55,6 +55,7 @@
     Post(loop::Loop& loop, const std::string& address) : client(loop, address, {}) {}
     HttpClient client;
     std::vector<NoticeNumber> notices;
+    std::uint64_t order = 0;  // of the post among all
     Time sent_at = 0;
   };
   // Posts what is due, as far as connections are free.
