Dispatcher: one failure that nothing refutes limits an endpoint to its usual rate

Cause: health counts failure signs, and above 0.67 calls a second three close an endpoint; fewer count as none for any length of time. A lost call among others is refuted by the next that is served; in a lull nothing refutes it. A refusal is the same for a relay of many, whose hold the first answer ends.

Change: a failed or refused call that no call sent later has refuted for 3 s is a possible outage: at most the usual rate, 3 calls at once, until a serve; then the ramp for `cold`, with the usual rate as its floor. Reported to a later process as an outage. Log line `possible outage of`. Why it works: what may have been an outage is treated as one for clumps, and usual traffic, which a served call clears at once, is never slowed.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -79,6 +79,12 @@
 // above.
 constexpr double kFailureEvidenceSeconds = 3;
 
+// A failed call that no later one has refuted for this long is a possible outage, however few calls failed:
+// until the endpoint serves, and then for as long as it may be cold, it gets no more than its usual rate.
+constexpr double kUnrefutedFailureSeconds = kFailureEvidenceSeconds;
+// Calls that it may get at once then: usual traffic comes in small groups.
+constexpr double kPossibleOutageBurst = 3;
+
 // Slots: largest share of them for one endpoint, for the trial calls of all closed endpoints together, and
 // for an endpoint that shows failure signs.
 constexpr double kMaxEndpointSlotShare = 0.5;
@@ -196,9 +202,13 @@
   Time last_used_at = -kNever;           // last time a call began or ended
   // Present health, and as last reported to the host.
   Health health = Health::open, reported_health = Health::open;
-  double usual_rate = 0;                          // calls a second before the trouble
-  Time health_since = 0;                          // begin of the present health; may lie in the future
-  double budget = 0;                              // calls allowed while closed or in the ramp
+  double usual_rate = 0;  // calls a second before the trouble
+  // Send time of the first failed call since a later one was served; negative: none. Rate of calls then.
+  Time unrefuted_failure_sent = -1;
+  double rate_at_failure = 0;
+  bool possible_outage = false;  // in the ramp for such a failure alone, not since it was closed
+  Time health_since = 0;         // begin of the present health; may lie in the future
+  double budget = 0;             // calls allowed while closed or in the ramp
   Time budget_updated_at = 0, next_trial_at = 0;  // last update of the budget; earliest next trial
   int call_cap = 0;                               // calls in flight at which connects failed; 0: unknown
   Time call_cap_changed_at = 0;                   // when the cap last changed
@@ -261,6 +271,7 @@
   // Order keys that are blocked after an attempt in doubt, with the end of that time, soonest first.
   std::deque<std::pair<Time, std::string>> blocked_keys;
   bool list_changed = false;
+  std::set<EndpointId> unrefuted_failures;  // open endpoints with a failed call that none has refuted
   std::map<std::uint64_t, Call> calls;
   // The stamp is the version of the state: it changes with rounds, sends and endpoint health.
   std::uint64_t next_call_id = 1, version = 0;
@@ -452,10 +463,54 @@
     }
     if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
+    e.possible_outage = false, e.unrefuted_failure_sent = -1;
     e.health_since = now;
     e.next_trial_at = now + trial_gap(e);
     report_health(e);
   }
+  // Notes a failed call that later ones have yet to refute.
+  void note_failure(EndpointState& e, const Call& call) {
+    const bool refuted = call.sent_at < e.latest_served_sent;
+    if (refuted || e.health != Health::open || e.unrefuted_failure_sent >= 0) return;
+    e.unrefuted_failure_sent = call.sent_at;
+    e.rate_at_failure = e.first_attempts.per_second(now);
+    unrefuted_failures.insert(e.info.id);
+  }
+  // Limits the endpoints whose failed calls have not been refuted for a while. Guards against a clump of
+  // messages at an endpoint that is back from an outage of which a lull let this relay see one failure only.
+  // A single lost call among others is refuted by the next one that is served.
+  void suspect_outages() {
+    for (auto it = unrefuted_failures.begin(); it != unrefuted_failures.end();) {
+      const auto endpoint = endpoints.find(*it);
+      const bool pending = endpoint != endpoints.end() && endpoint->second.health == Health::open &&
+                           endpoint->second.unrefuted_failure_sent >= 0;
+      if (!pending) {
+        it = unrefuted_failures.erase(it);
+        continue;
+      }
+      const Time due = endpoint->second.unrefuted_failure_sent + micros(kUnrefutedFailureSeconds);
+      if (now < due) {
+        wake_by(due), ++it;
+        continue;
+      }
+      suspect_outage(endpoint->second);
+      it = unrefuted_failures.erase(it);
+    }
+  }
+  void suspect_outage(EndpointState& e) {
+    e.usual_rate = std::max(
+        {e.rate_at_failure, e.first_attempts.per_second(now), kMinAssumedCallsPerSecond / settings.relays});
+    e.unrefuted_failure_sent = -1, e.possible_outage = true;
+    e.health = Health::ramp, e.health_since = e.budget_updated_at = now, version++;
+    e.budget = kPossibleOutageBurst;
+    log("possible outage of " + e.info.id);
+    report_health(e);
+  }
+  // Whether nothing was served since an outage became possible: it may go on.
+  bool outage_may_go_on(const EndpointState& e) const {
+    return e.possible_outage && e.last_served_at < e.health_since;
+  }
+
   // Closes the endpoint, or its whole destination, until a told wait ends. Called for waits that exceed both
   // the shortest aim and the time of overload that brings a cold destination down; such a destination is cold
   // afterwards. All relays that were told return at the same moment, so each begins the ramp there. Guards
@@ -463,7 +518,7 @@
   void close_until_told(EndpointState& from) {
     const auto close_until = [this, until = throttle_of(from).told_wait_until](EndpointState& e) {
       if (e.health == Health::open) close_endpoint(e, "shut, told until when");
-      e.health = Health::ramp, e.health_since = e.budget_updated_at = until;
+      e.health = Health::ramp, e.health_since = e.budget_updated_at = until, e.possible_outage = false;
       report_health(e);
     };
     if (from.has_own_limit) return close_until(from);
@@ -483,27 +538,29 @@
     double capacity_share = settings.cold_from;
     if (e.health == Health::ramp)
       capacity_share += (1 - settings.cold_from) * seconds(now - e.health_since) / seconds(health_expiry());
-    const double multiple = settings.fall_multiple * overload_share() * std::min(capacity_share, 1.0);
+    const double cold_multiple = settings.fall_multiple * overload_share() * std::min(capacity_share, 1.0);
+    const double multiple = e.possible_outage ? std::max(cold_multiple, 1.0) : cold_multiple;
     // Not served since the outage: it may have returned only now, so it gets no more than its usual rate,
     // whatever the backlog.
-    return e.usual_rate * (on_trial(e) ? std::min(multiple, 1.0) : multiple);
+    return e.usual_rate * (on_trial(e) || outage_may_go_on(e) ? std::min(multiple, 1.0) : multiple);
   }
   // When the endpoint's health allows the next call. Also moves the health on once its time has passed.
   Time budget_ready_at(EndpointState& e) {
     if (e.health == Health::open) return now;
-    if (now >= e.health_since + health_expiry()) {
+    if (now >= e.health_since + health_expiry() && !outage_may_go_on(e)) {
       // A closed endpoint goes through the ramp even if the budget never allowed a trial, so that held
       // messages are not all sent at once.
       const bool warm = e.health == Health::ramp;
       e.health = warm ? Health::open : Health::ramp, e.health_since = now, version++;
-      if (warm) e.failures_in_row = 0, e.fail_share = 0;
+      if (warm) e.failures_in_row = 0, e.fail_share = 0, e.possible_outage = false;
       log((warm ? "warm " : "forgotten ") + e.info.id);
       report_health(e);
       if (warm) return now;
     }
-    const Time end = e.health_since + health_expiry();
+    const Time end = outage_may_go_on(e) ? kNever : e.health_since + health_expiry();
     const double rate = limited_rate(e);
-    e.budget = std::min(1.0, e.budget + rate * seconds(now - e.budget_updated_at));
+    e.budget = std::min(e.possible_outage ? kPossibleOutageBurst : 1.0,
+                        e.budget + rate * seconds(now - e.budget_updated_at));
     e.budget_updated_at = now;
     const Time ready =
         e.budget >= 1 ? now : std::min(end, now + micros((1 - e.budget) / std::max(rate, 1e-9)) + 1);
@@ -512,7 +569,11 @@
 
   void call_served(EndpointState& e, Time sent, Time latency) {
     ThrottleState& t = throttle_of(e);
+    const bool may_have_returned = outage_may_go_on(e);
+    if (may_have_returned) e.health_since = now;  // it may be cold from now on
     e.last_served_at = now, e.latest_served_sent = std::max(e.latest_served_sent, sent);
+    if (sent > e.unrefuted_failure_sent) e.unrefuted_failure_sent = -1;
+    if (may_have_returned) report_health(e);
     t.served.add(now), e.served.add(now);
     learn_served_after_refusal(t, 1);
     t.refusals_in_row = 0, t.hold_until = now;
@@ -601,6 +662,7 @@
       close_endpoint(e, ev.outcome == Outcome::connect_failed ? "no connection"
                         : ev.outcome == Outcome::error        ? "errors"
                                                               : "silent");
+    note_failure(e, call);
   }
   // Closes the idle connections to all endpoints of a kind, unless they are already distrusted.
   void distrust_idle_connections(std::size_t kind) {
@@ -657,6 +719,7 @@
       if (sibling == nullptr || other->health == Health::open) sibling = other;
     if (sibling != nullptr && !e.has_own_limit && sibling->health != Health::open) {
       e.health = sibling->health, e.health_since = sibling->health_since, e.usual_rate = sibling->usual_rate;
+      e.possible_outage = sibling->possible_outage;
       e.budget_updated_at = now, e.next_trial_at = now, e.budget = uniform();
       report_health(e);
     }
@@ -744,11 +807,13 @@
   }
   // Reports a change of the endpoint's health to the host.
   void report_health(EndpointState& e) {
-    if (e.health == e.reported_health) return;
-    e.reported_health = e.health;
-    const auto reported = e.health == Health::open     ? action::Health::well
-                          : e.health == Health::closed ? action::Health::out
-                                                       : action::Health::returning;
+    // To a later relay a possible outage is one: it has not seen what speaks against it.
+    const Health known = outage_may_go_on(e) ? Health::closed : e.health;
+    if (known == e.reported_health) return;
+    e.reported_health = known;
+    const auto reported = known == Health::open     ? action::Health::well
+                          : known == Health::closed ? action::Health::out
+                                                    : action::Health::returning;
     round_actions->push_back(action::Seen{e.info.id, reported, now - e.health_since, e.usual_rate});
   }
   // Factor on the worth of a tenant's next message: reduced once the tenant exceeds this relay's part of its
@@ -886,7 +951,7 @@
       if (ev.outcome == Outcome::served)
         call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full)
-        call_refused(e);
+        call_refused(e), note_failure(e, call);
       else
         call_failed(e, ev, call);
     }
@@ -1176,6 +1241,7 @@
     now = std::max(now, at), round_actions = &actions, wake_at = kNever, version++;
     for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
     if (settings.subscribe) request_list();
+    suspect_outages();
     dispatch();
     close_rarely_used_connections();
     remove_unused_state();
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -276,6 +276,84 @@
   r.run_load(2 * kS, 20, kSafe, 1, [](const Sent&) { return std::optional(Outcome::reset); });
   EXPECT_LE(r.sends_between(dead, r.now), 8);
 }
+// An endpoint that serves 1.7 calls a second for a while and then ends one call as said, after which a lull
+// lets this relay see nothing more of it for 12 s.
+DispatcherHarness after_one_failure_and_a_lull(Outcome outcome, int relays = 1) {
+  auto s = default_settings();
+  s.relays = relays;
+  s.fall_multiple = 2, s.cold_from = 0.17, s.cold = 9'200 * kMs;
+  DispatcherHarness r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.run_load(18 * kS, 1.7, kSafe, 1, serve);
+  const auto last = r.arrive(kUnsafe);
+  r.run_to(r.now + (outcome == Outcome::timeout ? 10 * kS : 100 * kMs));
+  r.end(last, outcome);
+  r.run_to(r.now + (outcome == Outcome::timeout ? 2 * kS : 12 * kS));
+  return r;
+}
+// So many messages arrive at once. Returns how many are sent within 2 s.
+int sent_of_a_clump(DispatcherHarness& r, int messages) {
+  const Time at = r.now;
+  for (int i = 0; i < messages; i++) r.arrive(kSafe);
+  r.run_load(2 * kS, 0, kSafe, 1, serve);
+  return r.sends_between(at, at + 2 * kS);
+}
+// Guards against a clump that goes to a cold endpoint, because a lull let this relay see one failed call only
+// of its outage.
+TEST(Shut, ALullAfterOneFailureLetsNoClumpGoToAColdEndpoint) {
+  // 10 calls a second when warm: in the first 2 s cold it stands 2 x 10 x 2 s x 0.26 and three roots and 3
+  // more.
+  constexpr int kStands = 23;
+  for (const auto outcome : {Outcome::timeout, Outcome::reset, Outcome::error, Outcome::connect_failed}) {
+    auto r = after_one_failure_and_a_lull(outcome);
+    EXPECT_LE(sent_of_a_clump(r, 34), kStands) << static_cast<int>(outcome);
+    // What it may be sent grows while it serves, and in the end is unbounded again.
+    r.run_load(20 * kS, 1.7, kSafe, 1, serve);
+    EXPECT_EQ(sent_of_a_clump(r, 34), 34) << static_cast<int>(outcome);
+  }
+}
+// Guards against the same after one refusal, which a relay of many holds against its own next call alone.
+TEST(Shut, ALullAfterOneRefusalLetsNoClumpGoToAColdEndpoint) {
+  for (const int relays : {1, 20, 100}) {
+    auto r = after_one_failure_and_a_lull(Outcome::full, relays);
+    // A burst of 3, and 2 s at 3 calls a second, the least usual rate that is assumed of all relays.
+    EXPECT_LE(sent_of_a_clump(r, 60), 3 + 6 + 1) << relays << " relays";
+  }
+}
+// Guards against the same where the outage lasts on after the lull, for longer than it would be remembered.
+TEST(Shut, APossibleOutageIsRememberedUntilTheEndpointServes) {
+  auto r = after_one_failure_and_a_lull(Outcome::timeout);
+  r.run_to(r.now + 30 * kS);
+  EXPECT_LE(sent_of_a_clump(r, 34), 23);
+}
+// Guards against a healthy endpoint that is held back because single calls are lost there: later calls that
+// are served refute an outage, and usual traffic is never slowed.
+TEST(Shut, SingleLostCallsHoldBackNoHealthyEndpoint) {
+  auto s = default_settings();
+  s.relays = 1, s.cold = 9'200 * kMs, s.cold_from = 0.17, s.fall_multiple = 2;
+  DispatcherHarness r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.run_load(18 * kS, 1.7, kSafe, 1, serve);
+  r.end(r.arrive(kSafe), Outcome::reset);
+  r.run_load(2 * kS, 1.7, kSafe, 1, serve);
+  r.run_to(r.now + 5 * kS);  // the lull comes after a call that was served
+  EXPECT_EQ(sent_of_a_clump(r, 34), 34);
+  // Every fourth connection breaks, at a usual rate with gaps.
+  int calls = 0;
+  const auto breaking = [&](const Sent&) {
+    return std::optional(calls++ % 4 == 3 ? Outcome::reset : Outcome::served);
+  };
+  const Time from = r.now;
+  int arrived = 0;
+  for (int i = 0; i < 10; i++) {
+    r.run_load(3 * kS, 2, kSafe, 1, breaking);
+    r.run_load(4 * kS, 0, kSafe, 1, breaking);
+    arrived += 6;
+  }
+  EXPECT_GE(r.sends_between(from, r.now), arrived);
+  EXPECT_TRUE(r.failed.empty());
+  EXPECT_TRUE(r.refused.empty());
+}
 TEST(Shut, AnEndpointListedAnewSharesItsSiblingsState) {
   DispatcherHarness r;
   r.list({{.id = "a", .destination = 1}});
