Fault fleet: its end no longer calls what a test has destroyed

Fleet::~Fleet() runs the loop once more; a call that arrives then asks the test's `reply`, whose variables are declared after the fleet and so are gone. Not a fault of the relay. Change: the destructor puts the defaults in place of the test's functions before it runs the loop.

--- a/tests/faults/fleet.cpp
+++ b/tests/faults/fleet.cpp
@@ -87,8 +87,14 @@
   }
 }
 
+// The loop runs once more, and calls may still arrive: what a test's own variables answer may be gone by
+// then.
 Fleet::~Fleet() {
   *alive_ = false;
+  reply = [](const std::string&, const std::string&) { return Reply{}; };
+  proxy_delay = [] { return Time{0}; };
+  client_reset_after = [] { return std::nullopt; };
+  second_copy = [](const std::string&, int) { return std::nullopt; };
   for (auto& relay : relays_) {
     relay.process.reset();
     for (auto& link : relay.extra_connections) link->stream->close();
