--- a/src/journal/coordinator.cpp
+++ b/src/journal/coordinator.cpp
@@ -256,9 +256,10 @@
   unrecorded_.erase(id);
   const bool keep = answers_to_keep_.erase(id) > 0;
   if (keep || !r.idempotency_key.empty() || !r.owner.empty()) r.until = now_ + settings_.answers_for;
-  if (settings_.delivered_answers_for > 0 && !r.owner.empty())
-    r.remember = now_ + settings_.delivered_answers_for, r.owed_until = due + kRepeatTransit;
-  r.remember = std::max(r.remember, r.owed_until);
+  if (settings_.delivered_answers_for > 0 && !r.owner.empty()) {
+    r.owed_until = due + kRepeatTransit;
+    r.remember = std::max(now_ + settings_.delivered_answers_for, r.owed_until);
+  }
   const Sequence s = write_record({now_, std::move(r)});
   if (s == 0 || stalled_ || !waits_.answers) return deliver();
   wait_until_durable(s, {WaitingAction::Kind::answer, 0, std::move(deliver), due});
--- a/src/journal/coordinator.hpp
+++ b/src/journal/coordinator.hpp
@@ -49,8 +49,9 @@
   // the window; 0: not at all. Those whose message could still come again in its time are owed: they are
   // remembered however much they take, and has_room_for_message() keeps them within bounds.
   Time delivered_answers_for = 0;
-  // Bytes of records of all messages, answers and owed delivered answers, and of the last alone once all
-  // messages have ended; beyond either no new message is to be accepted.
+  // No new message is to be accepted beyond these. The first: bytes of what the log needs for held messages,
+  // kept answers and owed delivered answers. The second: bytes of owed delivered answers, counting one for
+  // each held message and kept answer, as those become one.
   std::uint64_t needed_bytes_max = std::numeric_limits<std::uint64_t>::max();
   std::uint64_t owed_answers_bytes_max = std::numeric_limits<std::uint64_t>::max();
   // Bytes of records. Items that still need older records are rewritten.
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,8 +15,8 @@
 constexpr Time kSecond = 1'000'000;
 constexpr Time kToldAfter = 6 * kSecond;  // a change counts as told then, by the platform's protocol
 constexpr Time kSlackOnSockets = 50'000;
-// Of an answer: the 2 s that a call may wait at discovery, and a connection and an answer over 38 ms with 35
-// % of jitter.
+// Of an answer: the 2 s that a call may wait at discovery, and the four ways of a connection and an answer,
+// each of 38 ms and 35 % of jitter.
 constexpr Time kLongestAnswer = 2'205'000;
 constexpr Time kDispatcherPause = 600'000;  // after a first failed call
 constexpr int kFirstIndex = 5;
@@ -25,21 +24,16 @@
 // A discovery service whose list is its index alone: it answers each call some time after it could.
 class DiscoveryClientTest : public ::testing::Test {
  protected:
-  // A call that waits for changes.
-  struct Watch {
-    int after;
-    loop::TimerId timeout;
-  };
   Server::Reply handle(const http1::Message& call, int connection) {
     connections_at_calls.push_back(connection);
     if (silent_calls > 0) return silent_calls--, Server::Reply{};
     const int after = number_in(call.target, "after=");
     const int wait_ms = number_in(call.target, "wait_ms=");
     if (after < index || wait_ms == 0) return answer_later(connection), Server::Reply{};
-    watches[connection] = {after, loop.after(Time{wait_ms} * 1'000, [this, connection] {
-                             watches.erase(connection);
-                             answer_later(connection);
-                           })};
+    watches[connection] = loop.after(Time{wait_ms} * 1'000, [this, connection] {
+      watches.erase(connection);
+      answer_later(connection);
+    });
     return {};
   }
   static int number_in(const std::string& target, const std::string& name) {
@@ -55,8 +49,8 @@
   }
   void change() {
     index++;
-    for (const auto& [connection, watch] : std::exchange(watches, {})) {
-      loop.cancel(watch.timeout);
+    for (const auto& [connection, timeout] : std::exchange(watches, {})) {
+      loop.cancel(timeout);
       answer_later(connection);
     }
   }
@@ -84,7 +78,7 @@
   loop::Loop loop;
   int index = kFirstIndex, silent_calls = 0;
   Time answer_delay = 0;
-  std::map<int, Watch> watches;  // by connection
+  std::map<int, loop::TimerId> watches;  // the end of the wait of each call that waits, by connection
   std::vector<int> connections_at_calls;
   std::int64_t heard = 0;  // index of the last list that the client reported
   int failures = 0;
